--- /dev/null
+++ b/cucumber.mjs
@@ -0,0 +1,6 @@
+export default {
+    paths: ["packages/*/src/**/*.feature"],
+    import: ["packages/*/dist/**/*.steps.js"],
+    format: ["summary"],
+    strict: true,
+};
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,12 @@
+/** Admission control: what runs now, what waits, what is refused. */
+export { AdaptiveLimit, type AdaptiveLimitOptions } from "./adaptiveLimit.js";
+export {
+    type AdmissionDecision,
+    AdmissionQueue,
+    type AdmissionQueueOptions,
+    type AdmissionTicket,
+    type AdmissionWaiter,
+} from "./admissionQueue.js";
+export { FairQueue, type FairQueueItem } from "./fairQueue.js";
+export { allotShares, type ShareDemand, type ShareGrant } from "./shares.js";
+export { TokenBucket, type TokenBucketOptions } from "./tokenBucket.js";
--- /dev/null
+++ b/packages/agent/src/agentPlugin.ts
@@ -0,0 +1,66 @@
+import {
+    ADDRESS_LIST_SCHEMA,
+    ADDRESS_SCHEMA,
+    type RoleContext,
+    RolePlugin,
+    type RunningRole,
+} from "@kumquathall/kernel";
+import { AgentRole } from "./agentRole.js";
+
+/** Settings of the agent role. */
+export interface AgentSettings {
+    /** Name of the VM. */
+    vm: string;
+    fabricDomain: string;
+    accelerators: number;
+    /** Address on which heads of groups ask this member for its lease. */
+    listen: string;
+    /** Entries to announce to. */
+    entries: string[];
+    engine: {
+        kind: "model" | "plain";
+        url: string;
+        /** Whether the engine itself refuses orders with old fencing numbers. */
+        fencing: "enforced" | "ignored";
+        /** For a plain service: `institution/service`. */
+        service?: string;
+    };
+    /** Requests that may run at once. */
+    maxRunning: number;
+    /** Bytes of answers held for callers that are slow or away. */
+    maxHeldBytes: number;
+}
+
+/** Registers the agent role. */
+export class AgentPlugin extends RolePlugin {
+    override readonly name = "agent";
+    override readonly settingsSchema = {
+        type: "object",
+        additionalProperties: false,
+        required: ["vm", "fabricDomain", "accelerators", "listen", "entries", "engine"],
+        properties: {
+            vm: { type: "string", minLength: 1 },
+            fabricDomain: { type: "string", minLength: 1 },
+            accelerators: { type: "integer", minimum: 0 },
+            listen: ADDRESS_SCHEMA,
+            entries: ADDRESS_LIST_SCHEMA,
+            engine: {
+                type: "object",
+                additionalProperties: false,
+                required: ["kind", "url"],
+                properties: {
+                    kind: { enum: ["model", "plain"] },
+                    url: { type: "string", pattern: "^http://" },
+                    fencing: { enum: ["enforced", "ignored"], default: "enforced" },
+                    service: { type: "string", pattern: "^[^/]+/[^/]+$" },
+                },
+            },
+            maxRunning: { type: "integer", minimum: 1, default: 256 },
+            maxHeldBytes: { type: "integer", minimum: 65536, default: 33554432 },
+        },
+    };
+
+    override start(context: RoleContext, roleSettings: unknown): Promise<RunningRole> {
+        return AgentRole.start(context, roleSettings as AgentSettings);
+    }
+}
--- /dev/null
+++ b/packages/agent/src/engineClient.ts
@@ -0,0 +1,180 @@
+import { KumquathallError } from "@kumquathall/errors";
+import type { FencingNumber, HeaderField, ModelLoad, RunMessage } from "@kumquathall/types";
+import { Pool } from "undici";
+
+/** The engine could not be reached, or refused an order. */
+export class EngineError extends KumquathallError {
+    /** Whether the engine provably did not start the request. */
+    readonly isNotStarted: boolean;
+
+    constructor(message: string, isNotStarted: boolean, cause?: unknown) {
+        super(message, cause);
+        this.isNotStarted = isNotStarted;
+    }
+}
+
+/** The start of an engine's answer, and its body as it comes. */
+export interface EngineAnswer {
+    status: number;
+    headers: HeaderField[];
+    body: AsyncIterable<Uint8Array>;
+}
+
+/** An engine's report on itself; its figures may be late. */
+export interface EngineState {
+    incarnation: string;
+    models: ModelLoad[];
+    running: number;
+    queued: number;
+    ageMs: number;
+    cachedPrefixes: string[];
+    cacheSequence: number;
+}
+
+const ORDER_TIMEOUT_MS = 600_000;
+const STATE_TIMEOUT_MS = 2000;
+const MAX_CONNECTIONS = 256;
+const DROPPED_HEADERS = new Set([
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "date",
+    "upgrade",
+    "proxy-authenticate",
+    "trailer",
+    "te",
+]);
+/** Errors after which the request cannot have reached the engine. */
+const NOT_STARTED_CODES = new Set([
+    "ECONNREFUSED",
+    "ENOTFOUND",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Speaks HTTP to the engine or plain service beside this agent. */
+export abstract class EngineClient {
+    protected readonly pool: Pool;
+
+    constructor(url: string) {
+        this.pool = new Pool(url, {
+            connections: MAX_CONNECTIONS,
+            pipelining: 1,
+            connect: { timeout: 1000 },
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+    }
+
+    /** Orders the engine to load exactly these models. */
+    abstract load(models: ModelLoad[], fencing: FencingNumber): Promise<void>;
+
+    /** Orders the engine to stop everything that runs. Resolves once nothing does. */
+    abstract release(fencing: FencingNumber): Promise<void>;
+
+    /** Rejects when the engine is not there. */
+    abstract readState(): Promise<EngineState>;
+
+    /** Runs one request. Rejects with {@link EngineError}. */
+    async run(message: RunMessage, signal: AbortSignal): Promise<EngineAnswer> {
+        try {
+            const headers: Record<string, string> = { "x-priority": String(message.priority) };
+            for (const field of message.headers) {
+                headers[field.name] = field.value;
+            }
+            const hasBody = message.body.length > 0;
+            const response = await this.pool.request({
+                method: message.method as "GET",
+                path: message.path,
+                headers,
+                body: hasBody ? message.body : undefined,
+                signal,
+            });
+            return { status: response.statusCode, headers: selectHeaders(response.headers), body: response.body };
+        }
+        catch (error) {
+            throw new EngineError(
+                `the engine did not answer: ${String(error)}`,
+                NOT_STARTED_CODES.has(getCode(error)),
+                error,
+            );
+        }
+    }
+
+    close(): Promise<void> {
+        return this.pool.destroy();
+    }
+
+    protected async sendJson<Answer>(
+        method: "GET" | "POST",
+        path: string,
+        value: unknown,
+        timeoutMs: number,
+    ): Promise<Answer> {
+        const response = await this.pool.request({
+            method,
+            path,
+            body: value === undefined ? undefined : JSON.stringify(value),
+            headers: value === undefined ? {} : { "content-type": "application/json" },
+            signal: AbortSignal.timeout(timeoutMs),
+        });
+        const text = await response.body.text();
+        if (response.statusCode >= 300) {
+            throw new EngineError(`the engine answered ${response.statusCode} to ${path}`, true);
+        }
+        return JSON.parse(text) as Answer;
+    }
+}
+
+/** A model engine: takes orders and reports its state. */
+export class ModelEngineClient extends EngineClient {
+    override async load(models: ModelLoad[], fencing: FencingNumber): Promise<void> {
+        await this.sendJson("POST", "/orders", { kind: "load", fencing, models }, ORDER_TIMEOUT_MS);
+    }
+
+    override async release(fencing: FencingNumber): Promise<void> {
+        await this.sendJson("POST", "/orders", { kind: "release", fencing }, ORDER_TIMEOUT_MS);
+    }
+
+    override readState(): Promise<EngineState> {
+        return this.sendJson<EngineState>("GET", "/state", undefined, STATE_TIMEOUT_MS);
+    }
+}
+
+/** A plain service: takes no orders. It counts as there while it answers HTTP at all. */
+export class PlainEngineClient extends EngineClient {
+    override load(): Promise<void> {
+        return Promise.resolve();
+    }
+
+    override release(): Promise<void> {
+        return Promise.resolve();
+    }
+
+    override async readState(): Promise<EngineState> {
+        const response = await this.pool.request({
+            method: "GET",
+            path: "/state",
+            signal: AbortSignal.timeout(STATE_TIMEOUT_MS),
+        });
+        await response.body.dump();
+        return { incarnation: "", models: [], running: 0, queued: 0, ageMs: 0, cachedPrefixes: [], cacheSequence: 0 };
+    }
+}
+
+function selectHeaders(headers: Record<string, string | string[] | undefined>): HeaderField[] {
+    const fields: HeaderField[] = [];
+    for (const [name, value] of Object.entries(headers)) {
+        if (value !== undefined && !DROPPED_HEADERS.has(name)) {
+            const values = Array.isArray(value) ? value : [value];
+            values.forEach(item => fields.push({ name, value: item }));
+        }
+    }
+    return fields;
+}
+
+function getCode(error: unknown): string {
+    return typeof error === "object" && error !== null && "code" in error ? String(error.code) : "";
+}
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,9 @@
+/** The agent role. Importing this package registers it with the kernel. */
+export { AgentPlugin, type AgentSettings } from "./agentPlugin.js";
+export { AgentRole } from "./agentRole.js";
+export { decideStart, type StartDecision, type StartInput } from "./decideStart.js";
+export { HeldOutput } from "./heldOutput.js";
+import { registerRolePlugin } from "@kumquathall/kernel";
+import { AgentPlugin } from "./agentPlugin.js";
+
+registerRolePlugin(new AgentPlugin());
--- /dev/null
+++ b/packages/agent/src/leaseTask.ts
@@ -0,0 +1,137 @@
+import { isSameFencing } from "@kumquathall/control-state";
+import {
+    decideGrant,
+    DEFAULT_GROUP_LEASE_TIMING,
+    type GroupLeaseTiming,
+    type HeadLeases,
+    type MemberGrants,
+    recordGrant,
+    startHeadLeases,
+} from "@kumquathall/group-lease";
+import type { RoleContext } from "@kumquathall/kernel";
+import { LinkDialer, LinkListener, parseAddress, type PeerIdentity } from "@kumquathall/link";
+import { GroupState, type LeaseAnswer, type LeaseCall, VmState } from "@kumquathall/types";
+import type { ConfigurationCache } from "./configurationCache.js";
+
+export interface LeaseTaskOptions {
+    context: RoleContext;
+    identity: PeerIdentity;
+    vm: string;
+    listen: string;
+    cache: ConfigurationCache;
+    isEngineLoaded: () => boolean;
+    timing?: GroupLeaseTiming;
+}
+
+/** Both sides of the leases of a replica group: asks the members when this VM is the head, grants when it is a member. */
+export class LeaseTask {
+    private readonly timing: GroupLeaseTiming;
+    private table: HeadLeases | undefined;
+    private grants: MemberGrants = { grantedUntil: Number.NEGATIVE_INFINITY };
+    private readonly dialers = new Map<string, LinkDialer>();
+    private listener: LinkListener | undefined;
+    private timer: NodeJS.Timeout | undefined;
+
+    private constructor(private readonly options: LeaseTaskOptions) {
+        this.timing = options.timing ?? DEFAULT_GROUP_LEASE_TIMING;
+    }
+
+    static async start(options: LeaseTaskOptions): Promise<LeaseTask> {
+        const task = new LeaseTask(options);
+        task.listener = await LinkListener.listen({
+            address: parseAddress(options.listen),
+            tls: options.context.tls?.(),
+            identity: options.identity,
+            handlers: { onCall: message => task.answerLease(message as LeaseCall) },
+        });
+        task.timer = setInterval(() => task.askMembers(), task.timing.intervalMs);
+        return task;
+    }
+
+    /** The head's table for the group it leads now. */
+    getTable(): HeadLeases | undefined {
+        return this.table;
+    }
+
+    getGrants(): MemberGrants {
+        return this.grants;
+    }
+
+    close(): void {
+        clearInterval(this.timer);
+        this.listener?.close();
+        this.dialers.forEach(dialer => dialer.close());
+    }
+
+    private answerLease(call: LeaseCall): LeaseAnswer {
+        const { identity, cache } = this.options;
+        const decision = decideGrant({
+            grants: this.grants,
+            vm: cache.getVm(),
+            incarnation: identity.incarnation,
+            isEngineLoaded: this.options.isEngineLoaded(),
+            groupId: call.groupId,
+            fencing: call.fencing,
+            now: performance.now(),
+            timing: this.timing,
+        });
+        if (!decision.isGranted) {
+            return { isGranted: false, incarnation: identity.incarnation, reason: decision.reason };
+        }
+        this.grants = decision.grants;
+        return { isGranted: true, incarnation: identity.incarnation, reason: "" };
+    }
+
+    private askMembers(): void {
+        const { cache, vm } = this.options;
+        const group = cache.getGroup();
+        const isHead = group !== undefined && group.vms[0] === vm && cache.getVm()?.state === VmState.Assigned;
+        if (!isHead || group.state === GroupState.Releasing) {
+            this.stopLeading();
+            return;
+        }
+        if (
+            this.table === undefined || this.table.groupId !== group.id
+            || !isSameFencing(this.table.fencing, group.fencing)
+        ) {
+            this.stopLeading();
+            this.table = startHeadLeases(group.id, group.fencing, group.vms);
+        }
+        for (const member of group.vms) {
+            void this.askMember(member, this.table);
+        }
+    }
+
+    private stopLeading(): void {
+        this.table = undefined;
+        this.dialers.forEach(dialer => dialer.close());
+        this.dialers.clear();
+    }
+
+    private async askMember(member: string, asked: HeadLeases): Promise<void> {
+        const call: LeaseCall = { kind: "lease", groupId: asked.groupId, fencing: asked.fencing };
+        const sentAt = performance.now();
+        const answer = member === this.options.vm
+            ? this.answerLease(call)
+            : await this.getDialer(member)?.call(call, this.timing.leaseMs).catch(() => undefined) as
+                | LeaseAnswer
+                | undefined;
+        const isSameTable = this.table !== undefined && this.table.groupId === asked.groupId
+            && isSameFencing(this.table.fencing, asked.fencing);
+        if (answer?.isGranted === true && isSameTable && this.table !== undefined) {
+            this.table = recordGrant(this.table, member, sentAt, this.timing);
+        }
+    }
+
+    private getDialer(member: string): LinkDialer | undefined {
+        const known = this.dialers.get(member);
+        const address = this.options.cache.getAddress(member);
+        if (known !== undefined || address === undefined) {
+            return known;
+        }
+        const { context, identity } = this.options;
+        const dialer = new LinkDialer({ address: parseAddress(address), tls: context.tls, identity, handlers: {} });
+        this.dialers.set(member, dialer);
+        return dialer;
+    }
+}
--- /dev/null
+++ b/packages/agent/src/runManager.ts
@@ -0,0 +1,353 @@
+import { ProblemCode } from "@kumquathall/errors";
+import type { Link } from "@kumquathall/link";
+import type { Logger } from "@kumquathall/logger";
+import type {
+    AgentToEntry,
+    Command,
+    CommandResult,
+    EntryToAgent,
+    LedgerResult,
+    RunMessage,
+    RunRefusal,
+} from "@kumquathall/types";
+import { randomUUID } from "node:crypto";
+import type { XXHashAPI } from "xxhash-wasm";
+import type { StartDecision } from "./decideStart.js";
+import type { EngineClient } from "./engineClient.js";
+import { ExclusiveLane } from "./exclusiveLane.js";
+import { type RunEnd, RunTask } from "./runTask.js";
+
+export interface RunManagerOptions {
+    vm: string;
+    incarnation: string;
+    engine: EngineClient;
+    hash: XXHashAPI;
+    logger: Logger;
+    maxHeldBytes: number;
+    decideStart: (message: RunMessage, remainingMs: number, running: number) => StartDecision;
+    propose: (command: Command, until: number) => Promise<CommandResult>;
+    /** A request found the engine gone. */
+    onEngineGone: () => void;
+}
+
+/** How long a finished answer is held for an entry that lost its connection, in milliseconds. */
+const HOLD_FINISHED_MS = 5000;
+/** How long a run goes on without a connection to its entry, in milliseconds. */
+const DETACH_GRACE_MS = 5000;
+const LEDGER_POLL_MS = 100;
+/** How long the agent goes on telling the ledger about a run after its deadline, in milliseconds. */
+const LEDGER_AFTER_MS = 60_000;
+
+/** All runs of this agent. Owns them from the gate to the last byte. */
+export class RunManager {
+    private readonly tasks = new Map<string, RunTask>();
+    private readonly suspects = new ExclusiveLane();
+    private running = 0;
+    private drained: (() => void) | undefined;
+
+    constructor(private readonly options: RunManagerOptions) {}
+
+    /** Requests between the gate and the end of their runs. */
+    countRunning(): number {
+        return this.running;
+    }
+
+    /** Handles a message of an entry about one request. */
+    handle(message: EntryToAgent, link: Link): void {
+        switch (message.kind) {
+            case "run":
+                void this.start(message, link);
+                return;
+            case "runCredit":
+                this.tasks.get(message.requestId)?.addCredit(message.bytes);
+                return;
+            case "runCancel":
+                this.cancel(message.requestId);
+                return;
+            case "runAttach":
+                this.attachRun(message.requestId, message.fromSequence, message.credit, link);
+                return;
+        }
+    }
+
+    /** A connection was lost: its runs go on for a while. */
+    handleLinkClosed(link: Link): void {
+        for (const task of this.tasks.values()) {
+            task.removeLink(link, DETACH_GRACE_MS);
+        }
+    }
+
+    /** Resolves once nothing runs. */
+    waitUntilIdle(): Promise<void> {
+        if (this.running === 0) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            this.drained = resolve;
+        });
+    }
+
+    private cancel(requestId: string): void {
+        const task = this.tasks.get(requestId);
+        // A non-idempotent request goes on to its end, so that its resend has an answer.
+        if (task !== undefined && task.message.ledgerKey === undefined) {
+            task.cancel();
+        }
+    }
+
+    private attachRun(requestId: string, fromSequence: number, credit: number, link: Link): void {
+        const task = this.tasks.get(requestId);
+        if (task === undefined) {
+            // The run message was lost with its connection; connections deliver in order, so it cannot arrive any more.
+            sendRefusal(link, requestId, {
+                code: ProblemCode.StaleRoute,
+                message: "this endpoint never got the request",
+                retryAfterMs: undefined,
+            });
+            return;
+        }
+        task.addLink(link, fromSequence, credit);
+    }
+
+    private async start(message: RunMessage, link: Link): Promise<void> {
+        const deadline = performance.now() + message.remainingMs;
+        const decision = this.options.decideStart(message, message.remainingMs, this.running);
+        if (decision.kind === "refuse") {
+            sendRefusal(link, message.requestId, decision.refusal);
+            return;
+        }
+        const { engine, hash } = this.options;
+        const task = new RunTask({ message, link, engine, hash, deadline });
+        this.tasks.set(message.requestId, task);
+        this.running++;
+        try {
+            await this.runTask(task, deadline);
+        }
+        catch (error) {
+            this.options.logger.error("run-failed", { request: message.requestId, message: String(error) });
+        }
+        this.running--;
+        this.dropHeldOutput();
+        setTimeout(() => this.tasks.delete(message.requestId), HOLD_FINISHED_MS).unref();
+        if (this.running === 0) {
+            this.drained?.();
+        }
+    }
+
+    private async runTask(task: RunTask, deadline: number): Promise<void> {
+        const { message } = task;
+        if (message.ledgerKey !== undefined) {
+            await this.runOnce(task, message.ledgerKey, deadline);
+            return;
+        }
+        const leave = message.isSuspect ? await this.suspects.enter() : undefined;
+        try {
+            const refusal = this.findLateRefusal(message, deadline);
+            if (refusal !== undefined) {
+                task.finishWith({ kind: "runRefused", requestId: message.requestId, refusal });
+                return;
+            }
+            const end = await task.run();
+            this.settle(task, end);
+        }
+        finally {
+            leave?.();
+        }
+    }
+
+    /** What held at the gate may hold no longer after a wait. */
+    private findLateRefusal(message: RunMessage, deadline: number): RunRefusal | undefined {
+        if (!message.isSuspect) {
+            return undefined;
+        }
+        const decision = this.options.decideStart(message, deadline - performance.now(), 0);
+        return decision.kind === "refuse" ? decision.refusal : undefined;
+    }
+
+    private settle(task: RunTask, end: RunEnd): void {
+        const { requestId, fingerprint, isSuspect, service, institution } = task.message;
+        if (end.kind === "notStarted") {
+            task.finishWith({ kind: "runRefused", requestId, refusal: end.refusal });
+            this.options.onEngineGone();
+        }
+        else if (end.kind === "broken" && end.isEngineGone) {
+            this.options.onEngineGone();
+            this.reportCrash([fingerprint], `${institution}/${service}`);
+        }
+        else if (end.kind === "complete" && isSuspect) {
+            void this.proposeQuietly({
+                kind: "clearSuspects",
+                fingerprints: [fingerprint],
+                at: new Date().toISOString(),
+            });
+        }
+    }
+
+    private reportCrash(fingerprints: string[], service: string): void {
+        const { vm, incarnation } = this.options;
+        void this.proposeQuietly({
+            kind: "reportCrash",
+            vm,
+            incarnation,
+            service,
+            fingerprints,
+            at: new Date().toISOString(),
+        });
+    }
+
+    /** Runs a non-idempotent request if its begin wins; else gives what the ledger knows. */
+    private async runOnce(task: RunTask, key: string, deadline: number): Promise<void> {
+        const attempt = randomUUID();
+        const ledger = await this.begin(task, key, attempt, deadline);
+        if (ledger === undefined) {
+            this.abandon(key, attempt);
+            this.refuseTask(task, ProblemCode.NotReady, "the ledger could not be reached", 1000);
+            return;
+        }
+        switch (ledger.state) {
+            case "won":
+                await this.runWon(task, key, attempt);
+                return;
+            case "answered":
+                this.replay(task, ledger);
+                return;
+            case "reused":
+                this.refuseTask(
+                    task,
+                    ProblemCode.KeyReused,
+                    "this idempotency key was used for another request",
+                    undefined,
+                );
+                return;
+            case "expired":
+                this.refuseTask(
+                    task,
+                    ProblemCode.KeyExpired,
+                    "this idempotency key is older than what is remembered",
+                    undefined,
+                );
+                return;
+            case "inFlight":
+            case "unknown":
+                task.finishWith({
+                    kind: "runBroken",
+                    requestId: task.message.requestId,
+                    code: ProblemCode.OutcomeUnknown,
+                    message: "an earlier request with this key was started and its outcome is not known",
+                });
+        }
+    }
+
+    /** Asks the ledger until the key is decided; a key in flight elsewhere is asked for again until the deadline. */
+    private async begin(
+        task: RunTask,
+        key: string,
+        attempt: string,
+        deadline: number,
+    ): Promise<LedgerResult | undefined> {
+        const { vm, incarnation } = this.options;
+        const command: Command = {
+            kind: "ledgerBegin",
+            key,
+            digest: task.message.digest,
+            vm,
+            incarnation,
+            attempt,
+            at: new Date().toISOString(),
+        };
+        let last: LedgerResult | undefined;
+        while (performance.now() < deadline) {
+            const result = await this.options.propose(command, deadline).catch(() => undefined);
+            last = result?.kind === "ledger" ? result.ledger : undefined;
+            if (last === undefined || last.state !== "inFlight") {
+                return last;
+            }
+            await new Promise(resolve => setTimeout(resolve, LEDGER_POLL_MS));
+        }
+        return last;
+    }
+
+    private async runWon(task: RunTask, key: string, attempt: string): Promise<void> {
+        const end = await task.run();
+        if (end.kind === "complete") {
+            const command: Command = {
+                kind: "ledgerAnswer",
+                key,
+                attempt,
+                answer: end.answer,
+                at: new Date().toISOString(),
+            };
+            await this.options.propose(command, performance.now() + LEDGER_AFTER_MS).catch(error => {
+                this.options.logger.error("ledger-answer-lost", {
+                    request: task.message.requestId,
+                    message: String(error),
+                });
+            });
+            return;
+        }
+        if (end.kind === "notStarted") {
+            this.abandon(key, attempt);
+        }
+        this.settle(task, end);
+    }
+
+    private replay(task: RunTask, ledger: Extract<LedgerResult, { state: "answered" }>): void {
+        const { requestId } = task.message;
+        const { answer } = ledger;
+        if (answer.body === undefined) {
+            task.finishWith({
+                kind: "runBroken",
+                requestId,
+                code: ProblemCode.AnswerNotRetained,
+                message: "the request ran; its answer was too large to keep",
+            });
+            return;
+        }
+        const digest = this.options.hash.h64Raw(answer.body).toString(16);
+        task.finishWith({
+            kind: "runWhole",
+            requestId,
+            status: answer.status,
+            headers: answer.headers,
+            data: answer.body,
+            digest,
+        });
+    }
+
+    private refuseTask(task: RunTask, code: string, message: string, retryAfterMs: number | undefined): void {
+        const { requestId } = task.message;
+        task.finishWith({ kind: "runRefused", requestId, refusal: { code, message, retryAfterMs } });
+    }
+
+    /** Frees a key that this agent never ran and never will; otherwise resends would hear that its outcome is unknown. */
+    private abandon(key: string, attempt: string): void {
+        void this.proposeQuietly({ kind: "ledgerAbandon", key, attempt, at: new Date().toISOString() });
+    }
+
+    private async proposeQuietly(command: Command): Promise<void> {
+        await this.options.propose(command, performance.now() + LEDGER_AFTER_MS).catch(error => {
+            this.options.logger.warn("command-lost", { command: command.kind, message: String(error) });
+        });
+    }
+
+    /** Keeps held output under its bound: the oldest idempotent answers lose what was sent already. */
+    private dropHeldOutput(): void {
+        let held = 0;
+        for (const task of this.tasks.values()) {
+            held += task.getHeldBytes();
+        }
+        for (const task of this.tasks.values()) {
+            if (held <= this.options.maxHeldBytes) {
+                return;
+            }
+            if (task.message.ledgerKey === undefined) {
+                held -= task.dropSent();
+            }
+        }
+    }
+}
+
+function sendRefusal(link: Link, requestId: string, refusal: RunRefusal): void {
+    const message: AgentToEntry = { kind: "runRefused", requestId, refusal };
+    link.cast(message);
+}
--- /dev/null
+++ b/packages/cli/src/commands/local/index.ts
@@ -0,0 +1,35 @@
+import { DEMO_ENDPOINTS, LocalCluster, publishFolder, waitUntil } from "@kumquathall/local-cluster";
+import { ExitCode } from "../../exitCode.js";
+import { printLine } from "../../print.js";
+
+export interface LocalArgs {
+    folder: string | undefined;
+}
+
+const START_TIMEOUT_MS = 20_000;
+
+/** Runs every role in this process on loopback against stand-in engines, until a signal stops it. Returns the exit code. */
+export async function runLocal(args: LocalArgs): Promise<number> {
+    const cluster = await LocalCluster.start({ endpoints: DEMO_ENDPOINTS });
+    try {
+        await waitUntil(
+            "an entry that can confirm its configuration",
+            START_TIMEOUT_MS,
+            async () => (await fetch(`${cluster.plan.entryUrls[0]}/ready`)).status === 200,
+        );
+        if (args.folder !== undefined) {
+            const outcomes = await publishFolder(args.folder, cluster.plan.entryUrls);
+            printLine(`published ${outcomes.length} services from ${args.folder}`);
+        }
+        cluster.plan.entryUrls.forEach(url => printLine(`entry: ${url} (status page: ${url}/status)`));
+        printLine("stop with Ctrl-C");
+        await new Promise<void>(resolve => {
+            process.once("SIGINT", () => resolve());
+            process.once("SIGTERM", () => resolve());
+        });
+    }
+    finally {
+        await cluster.close();
+    }
+    return ExitCode.Done;
+}
--- /dev/null
+++ b/packages/cli/src/commands/validate/index.ts
@@ -0,0 +1,29 @@
+import { readServiceFiles } from "@kumquathall/read-service-files";
+import { ExitCode } from "../../exitCode.js";
+import { printJson, printLine } from "../../print.js";
+
+export interface ValidateArgs {
+    folder: string;
+    json: boolean;
+}
+
+/** Checks service files without sending anything. Returns the exit code. */
+export function runValidate(args: ValidateArgs): number {
+    return readServiceFiles(args.folder).caseOf({
+        Left: errors => {
+            args.json
+                ? printJson(errors.map(error => ({ file: error.file, field: error.field, message: error.message })))
+                : errors.forEach(error => printLine(error.message));
+            if (!args.json) {
+                printLine(`${errors.length} mistakes; nothing was sent. Correct them and run the command again.`);
+            }
+            return ExitCode.Invalid as number;
+        },
+        Right: files => {
+            args.json
+                ? printJson(files.map(file => file.file))
+                : printLine(`${files.length} service files without mistakes.`);
+            return ExitCode.Done;
+        },
+    });
+}
--- /dev/null
+++ b/packages/cli/src/runCli.ts
@@ -0,0 +1,160 @@
+import { describeError } from "@kumquathall/errors";
+import { OperatorClientError } from "@kumquathall/operator-client";
+import yargs, { type Argv } from "yargs";
+import { runAudit } from "./commands/audit/index.js";
+import { runData } from "./commands/data/index.js";
+import { runDrain } from "./commands/drain/index.js";
+import { runEndpoints } from "./commands/endpoints/index.js";
+import { runExplain } from "./commands/explain/index.js";
+import { runGroups } from "./commands/groups/index.js";
+import { runKeyDigest } from "./commands/key/index.js";
+import { runLocal } from "./commands/local/index.js";
+import { runPublish } from "./commands/publish/index.js";
+import { runQuarantine } from "./commands/quarantine/index.js";
+import { runServices } from "./commands/services/index.js";
+import { runStatus } from "./commands/status/index.js";
+import { runValidate } from "./commands/validate/index.js";
+import { addConnectionOptions } from "./context.js";
+import { ExitCode } from "./exitCode.js";
+
+const DRAIN_TARGETS = ["vm", "domain", "data-centre"] as const;
+const DEFAULT_AUDIT_LIMIT = 50;
+
+/** Runs one command. Resolves with the exit code. */
+export async function runCli(argv: string[]): Promise<number> {
+    let code: number = ExitCode.Done;
+    const set = async (result: Promise<number> | number) => {
+        code = await result;
+    };
+    const parser = yargs(argv).scriptName("kumquathall").usage("$0 COMMAND").strict().demandCommand(1, "name a command")
+        .exitProcess(false);
+    addFileCommands(parser, set);
+    addViewCommands(parser, set);
+    addChangeCommands(parser, set);
+    parser
+        .completion("completion", "print a completion script for the shell")
+        .epilogue("Exit codes: 0 done, 1 failed, 2 not valid, 3 refused by the system.")
+        .wrap(110)
+        .fail((message, error) => {
+            throw error ?? new UsageError(message);
+        });
+    try {
+        await parser.parseAsync();
+    }
+    catch (error) {
+        process.stderr.write(`${describeError(error)}\n`);
+        return error instanceof UsageError ? ExitCode.Invalid : describeFailure(error);
+    }
+    return code;
+}
+
+/** The arguments are not valid. */
+class UsageError extends Error {}
+
+type SetCode = (result: Promise<number> | number) => Promise<void>;
+
+function describeFailure(error: unknown): number {
+    const refusals = ["forbidden", "unauthorized", "invalid-change", "version-conflict"];
+    return error instanceof OperatorClientError && refusals.includes(error.code) ? ExitCode.Refused : ExitCode.Failed;
+}
+
+function addFileCommands(parser: Argv, set: SetCode): void {
+    parser
+        .command(
+            "validate <folder>",
+            "check the service files below a folder",
+            command =>
+                command.positional("folder", { type: "string", demandOption: true }).option("json", {
+                    type: "boolean",
+                    default: false,
+                })
+                    .example("$0 validate services/", "list every mistake in every file"),
+            args => set(runValidate(args)),
+        )
+        .command(
+            "publish <folder>",
+            "publish the service files below a folder",
+            command =>
+                addConnectionOptions(command.positional("folder", { type: "string", demandOption: true }))
+                    .option("dry-run", { type: "boolean", default: false, describe: "only show the plan" })
+                    .example("$0 publish services/ --dry-run", "show what would change"),
+            args => set(runPublish(args)),
+        )
+        .command(
+            "data <action> <folder>",
+            "inspect or verify a control member's data folder",
+            command =>
+                command.positional("action", { choices: ["inspect", "verify"] as const, demandOption: true })
+                    .positional("folder", { type: "string", demandOption: true }).option("json", {
+                        type: "boolean",
+                        default: false,
+                    })
+                    .example("$0 data verify /var/lib/kumquathall", "check every checksum"),
+            args => set(runData(args)),
+        )
+        .command("key", "print the digest of a key given on standard input", {}, () => set(runKeyDigest()))
+        .command(
+            "local [folder]",
+            "run everything in one process on loopback",
+            command =>
+                command.positional("folder", { type: "string", describe: "service files to publish" }).example(
+                    "$0 local examples/",
+                    "a system to try by hand",
+                ),
+            args => set(runLocal(args)),
+        );
+}
+
+function addViewCommands(parser: Argv, set: SetCode): void {
+    parser
+        .command(
+            "status",
+            "show group downtime, stranded accelerators and control",
+            addConnectionOptions,
+            args => set(runStatus(args)),
+        )
+        .command("services", "list the services in force", addConnectionOptions, args => set(runServices(args)))
+        .command("groups", "list replica groups", addConnectionOptions, args => set(runGroups(args)))
+        .command("endpoints", "list endpoint VMs", addConnectionOptions, args => set(runEndpoints(args)))
+        .command(
+            "audit",
+            "show the audit trail",
+            command => addConnectionOptions(command).option("limit", { type: "number", default: DEFAULT_AUDIT_LIMIT }),
+            args => set(runAudit(args)),
+        )
+        .command(
+            "explain <request-id>",
+            "tell where a request went and why",
+            command => addConnectionOptions(command.positional("request-id", { type: "string", demandOption: true })),
+            args => set(runExplain({ ...args, requestId: args["request-id"] })),
+        );
+}
+
+function addChangeCommands(parser: Argv, set: SetCode): void {
+    for (const kind of ["drain", "undrain"] as const) {
+        parser.command(
+            `${kind} <target> <name>`,
+            kind === "drain" ? "take a VM, fabric domain or data centre out of use" : "end a drain",
+            command =>
+                addConnectionOptions(
+                    command.positional("target", { choices: DRAIN_TARGETS, demandOption: true }).positional("name", {
+                        type: "string",
+                        demandOption: true,
+                    }),
+                ).example(`$0 ${kind} domain quito-a-1`, ""),
+            args => set(runDrain(kind, args)),
+        );
+    }
+    parser.command(
+        "quarantine <action> [fingerprint]",
+        "list requests that crashed engines, or release one",
+        command =>
+            addConnectionOptions(
+                command.positional("action", { choices: ["list", "release"] as const, demandOption: true }).positional(
+                    "fingerprint",
+                    { type: "string" },
+                ),
+            ),
+        args => set(runQuarantine(args)),
+    );
+}
--- /dev/null
+++ b/packages/configuration-lease/src/index.ts
@@ -0,0 +1,2 @@
+/** When a reader's configuration may be trusted. */
+export { computeConfigurationLeaseEnd, type LeaseInput, recordVouch, type VouchRecord } from "./configurationLease.js";
--- /dev/null
+++ b/packages/consensus/src/index.ts
@@ -0,0 +1,22 @@
+/** Replicated log: pure transition functions, and the runtime that gives them time, disk and network. */
+export { canServeRead, computeLeaseEnd } from "./lease.js";
+export { getEntries, getLastIndex, getTermAt } from "./log.js";
+export {
+    ConsensusError,
+    ConsensusRuntime,
+    type ConsensusRuntimeOptions,
+    type ConsensusTransport,
+    type StateMachine,
+} from "./runtime.js";
+export {
+    type ConsensusEffect,
+    type ConsensusEvent,
+    type ConsensusMessage,
+    type ConsensusOptions,
+    type ConsensusState,
+    DEFAULT_CONSENSUS_OPTIONS,
+    type PeerProgress,
+    Role,
+    type RoleValue,
+} from "./state.js";
+export { createConsensusState, getAcceptedEntries, stepConsensus } from "./step.js";
--- /dev/null
+++ b/packages/consensus/src/log.ts
@@ -0,0 +1,41 @@
+import type { LogEntry } from "@kumquathall/types";
+import type { ConsensusState } from "./state.js";
+
+/** Index of the newest entry, 0 for an empty log. */
+export function getLastIndex(state: ConsensusState<unknown>): number {
+    return state.snapshotIndex + state.entries.length;
+}
+
+/** Term of the entry at an index, or `undefined` if the log does not hold it. */
+export function getTermAt(state: ConsensusState<unknown>, index: number): number | undefined {
+    if (index === state.snapshotIndex) {
+        return state.snapshotTerm;
+    }
+    return state.entries[index - state.snapshotIndex - 1]?.term;
+}
+
+/** Term of the newest entry. */
+export function getLastTerm(state: ConsensusState<unknown>): number {
+    return getTermAt(state, getLastIndex(state)) ?? 0;
+}
+
+/** Entries from one index to another, both included. */
+export function getEntries<Payload>(state: ConsensusState<Payload>, from: number, to: number): LogEntry<Payload>[] {
+    return state.entries.slice(Math.max(0, from - state.snapshotIndex - 1), Math.max(0, to - state.snapshotIndex));
+}
+
+/** The control group's members: those of the newest membership entry in the log, committed or not. */
+export function getMembers(state: ConsensusState<unknown>): readonly string[] {
+    for (let at = state.entries.length - 1; at >= 0; at--) {
+        const payload = state.entries[at].payload;
+        if (payload.kind === "members") {
+            return payload.members;
+        }
+    }
+    return state.snapshotMembers;
+}
+
+/** How many members make a majority. */
+export function countMajority(members: readonly string[]): number {
+    return Math.floor(members.length / 2) + 1;
+}
--- /dev/null
+++ b/packages/consensus/src/runtime.ts
@@ -0,0 +1,387 @@
+import { KumquathallError } from "@kumquathall/errors";
+import type { Logger } from "@kumquathall/logger";
+import type { LogStore, RecoveredState } from "@kumquathall/storage";
+import type { HardState, LogEntry, LogPayload, Snapshot } from "@kumquathall/types";
+import { canServeRead } from "./lease.js";
+import { getEntries, getLastIndex, getMembers, getTermAt } from "./log.js";
+import {
+    type ConsensusEffect,
+    type ConsensusEvent,
+    type ConsensusMessage,
+    type ConsensusOptions,
+    type ConsensusState,
+    DEFAULT_CONSENSUS_OPTIONS,
+} from "./state.js";
+import { createConsensusState, stepConsensus } from "./step.js";
+
+/** Error of the consensus layer: this member does not lead, or lost its lead before the proposal was committed. */
+export class ConsensusError extends KumquathallError {
+    /** The leader to ask instead, if known. */
+    readonly leaderId: string | undefined;
+
+    constructor(message: string, leaderId: string | undefined) {
+        super(message);
+        this.leaderId = leaderId;
+    }
+}
+
+/** Carries messages to other members; may lose, double and reorder them. */
+export interface ConsensusTransport<Payload> {
+    send(to: string, message: ConsensusMessage<Payload>): void;
+}
+
+/** What the log drives. */
+export interface StateMachine<Payload, Result> {
+    /** Applies one committed command and returns its result. */
+    apply(command: Payload, index: number, term: number): Result;
+    saveSnapshot(): Uint8Array;
+    loadSnapshot(data: Uint8Array): void;
+}
+
+export interface ConsensusRuntimeOptions<Payload, Result> {
+    id: string;
+    members: readonly string[];
+    store: LogStore<Payload>;
+    recovered: RecoveredState<Payload>;
+    machine: StateMachine<Payload, Result>;
+    transport: ConsensusTransport<Payload>;
+    logger: Logger;
+    timing?: ConsensusOptions;
+    /** Called once when the disk fails: the process must end. */
+    onFatal: (error: unknown) => void;
+    onApplied?: () => void;
+    onRole?: (role: string, term: number) => void;
+    /** Applied entries kept in the log before a snapshot replaces them. */
+    snapshotEvery?: number;
+}
+
+const TICK_MS = 20;
+const DEFAULT_SNAPSHOT_EVERY = 4000;
+/** Entries kept behind a snapshot, so that a member that is a little behind needs no snapshot. */
+const KEPT_ENTRIES = 1000;
+
+interface Waiter<Result> {
+    term: number;
+    resolve: (results: Result[]) => void;
+    reject: (error: Error) => void;
+}
+
+interface PendingProposal<Payload, Result> {
+    command: Payload;
+    resolve: (result: Result) => void;
+    reject: (error: Error) => void;
+}
+
+/** Runs one member: gives the pure step time, disk and network, and applies what is committed. */
+export class ConsensusRuntime<Payload, Result> {
+    private state: ConsensusState<Payload>;
+    private readonly timing: ConsensusOptions;
+    private appliedIndex: number;
+    private readonly waiters = new Map<number, Waiter<Result>>();
+    private proposals: PendingProposal<Payload, Result>[] = [];
+    private isProposalScheduled = false;
+    private outbox: ConsensusEffect<Payload>[] = [];
+    private isWriting = false;
+    private isClosed = false;
+    private lastSnapshot: Snapshot | undefined;
+    private readonly timer: NodeJS.Timeout;
+
+    constructor(private readonly options: ConsensusRuntimeOptions<Payload, Result>) {
+        this.timing = options.timing ?? DEFAULT_CONSENSUS_OPTIONS;
+        const { recovered } = options;
+        this.lastSnapshot = recovered.snapshot;
+        if (recovered.snapshot !== undefined) {
+            options.machine.loadSnapshot(recovered.snapshot.data);
+        }
+        this.appliedIndex = recovered.snapshot?.index ?? 0;
+        this.state = createConsensusState<Payload>({
+            id: options.id,
+            members: recovered.snapshot?.members ?? options.members,
+            now: performance.now(),
+            random: Math.random(),
+            hardState: recovered.hardState,
+            snapshotIndex: recovered.snapshot?.index,
+            snapshotTerm: recovered.snapshot?.term,
+            entries: recovered.entries,
+            timing: this.timing,
+        });
+        this.timer = setInterval(
+            () => this.handle({ kind: "tick", now: performance.now(), random: Math.random() }),
+            TICK_MS,
+        );
+    }
+
+    /** State of the member, for reading only. */
+    getState(): ConsensusState<Payload> {
+        return this.state;
+    }
+
+    /** Index of the newest entry that the state machine has applied. */
+    getAppliedIndex(): number {
+        return this.appliedIndex;
+    }
+
+    /** Members of the control group as this member knows them. */
+    getMembers(): readonly string[] {
+        return getMembers(this.state);
+    }
+
+    /** Whether this member may answer reads and give orders at this moment. */
+    canServe(): boolean {
+        return this.appliedIndex >= this.state.commitIndex && canServeRead(this.state, performance.now(), this.timing);
+    }
+
+    /** Delivers a message of another member. */
+    receive(from: string, message: ConsensusMessage<Payload>): void {
+        this.handle({ kind: "receive", now: performance.now(), random: Math.random(), from, message });
+    }
+
+    /** Proposes a command; resolves with its result once committed and applied. Rejects with {@link ConsensusError}. */
+    propose(command: Payload): Promise<Result> {
+        return new Promise((resolve, reject) => {
+            this.proposals.push({ command, resolve, reject });
+            if (!this.isProposalScheduled) {
+                this.isProposalScheduled = true;
+                setImmediate(() => this.flushProposals());
+            }
+        });
+    }
+
+    /** Replaces the control group's members; exactly one may differ. */
+    proposeMembers(members: string[]): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.submit({ kind: "members", members }, { term: 0, resolve: () => resolve(), reject });
+        });
+    }
+
+    /** Stops time and fails what waits. */
+    async close(): Promise<void> {
+        this.isClosed = true;
+        clearInterval(this.timer);
+        this.rejectAll(new ConsensusError("this member is stopping", undefined));
+        await this.options.store.close();
+    }
+
+    private flushProposals(): void {
+        this.isProposalScheduled = false;
+        const batch = this.proposals;
+        this.proposals = [];
+        if (batch.length === 0) {
+            return;
+        }
+        const payload: LogPayload<Payload> = { kind: "commands", commands: batch.map(item => item.command) };
+        this.submit(payload, {
+            term: 0,
+            resolve: results => batch.forEach((item, at) => item.resolve(results[at])),
+            reject: error => batch.forEach(item => item.reject(error)),
+        });
+    }
+
+    private submit(payload: LogPayload<Payload>, waiter: Waiter<Result>): void {
+        if (this.isClosed) {
+            waiter.reject(new ConsensusError("this member is stopping", undefined));
+            return;
+        }
+        const effects = this.handle({ kind: "propose", now: performance.now(), payload });
+        const proposed = effects.find(effect => effect.kind === "proposed");
+        if (proposed === undefined) {
+            waiter.reject(new ConsensusError("this member does not lead", this.state.leaderId));
+            return;
+        }
+        this.waiters.set(proposed.index, { ...waiter, term: proposed.term });
+        // A group of one member commits within the step itself.
+        this.applyCommitted();
+    }
+
+    private handle(event: ConsensusEvent<Payload>): ConsensusEffect<Payload>[] {
+        if (this.isClosed) {
+            return [];
+        }
+        const result = stepConsensus(this.state, event, this.timing);
+        this.state = result.state;
+        this.execute(result.effects);
+        if (event.kind !== "propose") {
+            this.applyCommitted();
+        }
+        return result.effects;
+    }
+
+    /** Sends what may go at once; queues what must wait for the disk. Appends to peers do not wait for the leader's own disk. */
+    private execute(effects: ConsensusEffect<Payload>[]): void {
+        let mustWait = false;
+        for (const effect of effects) {
+            if (effect.kind === "roleChanged") {
+                this.options.logger.info("consensus-role", { role: effect.role, term: effect.term });
+                this.options.onRole?.(effect.role, effect.term);
+            }
+            if (effect.kind === "persist" || effect.kind === "installSnapshot") {
+                mustWait = true;
+            }
+            if (mustWait || this.mustFollowDisk(effect)) {
+                this.outbox.push(effect);
+            }
+            else {
+                this.deliver(effect);
+            }
+        }
+        if (this.outbox.length > 0 && !this.isWriting) {
+            this.isWriting = true;
+            setImmediate(() => void this.writeOutbox());
+        }
+    }
+
+    /** Answers that confirm or promise something wait behind writes that are already queued. */
+    private mustFollowDisk(effect: ConsensusEffect<Payload>): boolean {
+        if (this.outbox.length === 0 && !this.isWriting) {
+            return false;
+        }
+        return effect.kind === "send" && effect.message.kind !== "append" && effect.message.kind !== "preVote";
+    }
+
+    private deliver(effect: ConsensusEffect<Payload>): void {
+        if (effect.kind === "send") {
+            this.options.transport.send(effect.to, effect.message);
+        }
+        else if (effect.kind === "sendSnapshot" && this.lastSnapshot !== undefined) {
+            this.options.transport.send(effect.to, {
+                kind: "snapshot",
+                term: effect.term,
+                snapshot: this.lastSnapshot,
+                sentAt: effect.sentAt,
+            });
+        }
+    }
+
+    /** Writes all queued records with one sync each round, then sends what waited for it. */
+    private async writeOutbox(): Promise<void> {
+        try {
+            while (this.outbox.length > 0 && !this.isClosed) {
+                const batch = this.outbox;
+                this.outbox = [];
+                await this.writeBatch(batch);
+            }
+        }
+        catch (error) {
+            this.options.logger.error("storage-failed", { message: String(error) });
+            this.isClosed = true;
+            clearInterval(this.timer);
+            this.options.onFatal(error);
+        }
+        this.isWriting = false;
+    }
+
+    private async writeBatch(batch: ConsensusEffect<Payload>[]): Promise<void> {
+        let hardState: HardState | undefined;
+        let entries: LogEntry<Payload>[] = [];
+        for (const effect of batch) {
+            if (effect.kind === "persist") {
+                hardState = effect.hardState ?? hardState;
+                const first = effect.entries[0]?.index;
+                entries = first === undefined
+                    ? entries
+                    : [...entries.filter(entry => entry.index < first), ...effect.entries];
+            }
+        }
+        await this.options.store.append(hardState, entries);
+        for (const effect of batch) {
+            if (effect.kind === "installSnapshot") {
+                await this.storeSnapshot(effect.snapshot);
+            }
+            else {
+                this.deliver(effect);
+            }
+        }
+        const last = entries.at(-1);
+        if (last !== undefined) {
+            this.handle({ kind: "persisted", now: performance.now(), index: last.index, term: last.term });
+        }
+    }
+
+    private async storeSnapshot(snapshot: Snapshot): Promise<void> {
+        this.lastSnapshot = snapshot;
+        const remaining = getEntries(this.state, snapshot.index + 1, getLastIndex(this.state));
+        await this.options.store.saveSnapshot(snapshot, this.state.hardState, remaining);
+    }
+
+    private applyCommitted(): void {
+        const { machine } = this.options;
+        if (this.appliedIndex < this.state.snapshotIndex) {
+            this.loadInstalledSnapshot();
+        }
+        if (this.appliedIndex >= this.state.commitIndex) {
+            return;
+        }
+        for (const entry of getEntries(this.state, this.appliedIndex + 1, this.state.commitIndex)) {
+            const commands = entry.payload.kind === "commands" ? entry.payload.commands : [];
+            const results = commands.map(command => machine.apply(command, entry.index, entry.term));
+            this.appliedIndex = entry.index;
+            this.resolveWaiter(entry, results);
+        }
+        this.options.onApplied?.();
+        this.takeSnapshotIfDue();
+    }
+
+    private loadInstalledSnapshot(): void {
+        const queued = this.outbox.flatMap(effect => effect.kind === "installSnapshot" ? [effect.snapshot] : []);
+        const snapshot = queued.at(-1) ?? this.lastSnapshot;
+        if (snapshot !== undefined && snapshot.index > this.appliedIndex) {
+            this.options.machine.loadSnapshot(snapshot.data);
+            this.appliedIndex = snapshot.index;
+            this.options.onApplied?.();
+        }
+    }
+
+    private resolveWaiter(entry: LogEntry<Payload>, results: Result[]): void {
+        const waiter = this.waiters.get(entry.index);
+        if (waiter === undefined) {
+            return;
+        }
+        this.waiters.delete(entry.index);
+        if (waiter.term === entry.term) {
+            waiter.resolve(results);
+        }
+        else {
+            waiter.reject(
+                new ConsensusError(
+                    "another leader's entry took this place; send the change again",
+                    this.state.leaderId,
+                ),
+            );
+        }
+    }
+
+    private takeSnapshotIfDue(): void {
+        const every = this.options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
+        const covered = this.lastSnapshot?.index ?? 0;
+        if (
+            this.appliedIndex - covered < every
+            || this.isWriting && this.outbox.some(effect => effect.kind === "installSnapshot")
+        ) {
+            return;
+        }
+        const term = getTermAt(this.state, this.appliedIndex) ?? 0;
+        const snapshot: Snapshot = {
+            index: this.appliedIndex,
+            term,
+            members: [...getMembers(this.state)],
+            data: this.options.machine.saveSnapshot(),
+        };
+        this.outbox.push({ kind: "installSnapshot", snapshot });
+        this.lastSnapshot = snapshot;
+        this.state = stepConsensus(this.state, {
+            kind: "compacted",
+            index: Math.max(this.state.snapshotIndex, this.appliedIndex - KEPT_ENTRIES),
+        }, this.timing).state;
+        if (!this.isWriting) {
+            this.isWriting = true;
+            setImmediate(() => void this.writeOutbox());
+        }
+    }
+
+    private rejectAll(error: Error): void {
+        for (const waiter of this.waiters.values()) {
+            waiter.reject(error);
+        }
+        this.waiters.clear();
+    }
+}
--- /dev/null
+++ b/packages/control-state/src/index.ts
@@ -0,0 +1,26 @@
+/** The replicated state of the control group as pure functions. */
+export { applyCommand, type ApplyOptions, type ApplyResult } from "./applyCommand.js";
+export { auditChange } from "./audit.js";
+export { isConfigurationCommand } from "./commandKind.js";
+export { compareFencing, formatFencing, isSameFencing } from "./fencing.js";
+export { parseKeyTime } from "./ledger.js";
+export {
+    formatDrainKey,
+    formatGroupKey,
+    formatServiceKey,
+    formatSuspectKey,
+    formatVmKey,
+    formatWarmth,
+    getGroup,
+    getService,
+    getVm,
+    isVmDraining,
+    listDrains,
+    listGroups,
+    listServices,
+    listSuspects,
+    listVms,
+} from "./lookup.js";
+export { buildStatusMeasures, type InstitutionMeasure } from "./measures.js";
+export { decodeState, encodeState } from "./snapshot.js";
+export { type ControlState, createControlState, type LedgerEntry, type MeasureState } from "./state.js";
--- /dev/null
+++ b/packages/control-state/src/lookup.ts
@@ -0,0 +1,99 @@
+import type {
+    ConfigurationValue,
+    DrainRecord,
+    ReplicaGroup,
+    ServiceDefinition,
+    SuspectRecord,
+    VmRecord,
+} from "@kumquathall/types";
+import type { VersionedMap } from "@kumquathall/versioned-map";
+
+type Configuration = VersionedMap<ConfigurationValue>;
+
+export function formatServiceKey(institution: string, service: string): string {
+    return `service/${institution}/${service}`;
+}
+
+export function formatGroupKey(groupId: string): string {
+    return `group/${groupId}`;
+}
+
+export function formatVmKey(vm: string): string {
+    return `vm/${vm}`;
+}
+
+export function formatDrainKey(kind: string, name: string): string {
+    return `drain/${kind}/${name}`;
+}
+
+export function formatSuspectKey(fingerprint: string): string {
+    return `suspect/${fingerprint}`;
+}
+
+/** Names what a VM's engine keeps in memory after a release: the weights of one service version. */
+export function formatWarmth(institution: string, service: string, version: number): string {
+    return `${institution}/${service}@${version}`;
+}
+
+export function getService(
+    configuration: Configuration,
+    institution: string,
+    service: string,
+): ServiceDefinition | undefined {
+    const value = configuration.entries.get(formatServiceKey(institution, service))?.value;
+    return value?.kind === "service" ? value.service : undefined;
+}
+
+export function getGroup(configuration: Configuration, groupId: string): ReplicaGroup | undefined {
+    const value = configuration.entries.get(formatGroupKey(groupId))?.value;
+    return value?.kind === "group" ? value.group : undefined;
+}
+
+export function getVm(configuration: Configuration, vm: string): VmRecord | undefined {
+    const value = configuration.entries.get(formatVmKey(vm))?.value;
+    return value?.kind === "vm" ? value.vm : undefined;
+}
+
+export function listServices(configuration: Configuration): ServiceDefinition[] {
+    return listValues(configuration).flatMap(value => value.kind === "service" ? [value.service] : []);
+}
+
+export function listGroups(configuration: Configuration): ReplicaGroup[] {
+    return listValues(configuration).flatMap(value => value.kind === "group" ? [value.group] : []);
+}
+
+export function listVms(configuration: Configuration): VmRecord[] {
+    return listValues(configuration).flatMap(value => value.kind === "vm" ? [value.vm] : []);
+}
+
+export function listDrains(configuration: Configuration): DrainRecord[] {
+    return listValues(configuration).flatMap(value => value.kind === "drain" ? [value.drain] : []);
+}
+
+export function listSuspects(configuration: Configuration): SuspectRecord[] {
+    return listValues(configuration).flatMap(value => value.kind === "suspect" ? [value.suspect] : []);
+}
+
+/** Whether the VM is leaving, or a drain of it, its fabric domain or its data centre is in force. */
+export function isVmDraining(configuration: Configuration, vm: VmRecord): boolean {
+    if (vm.attributes.isLeaving === true) {
+        return true;
+    }
+    const { fabricDomain, dataCentre } = vm.attributes;
+    const keys = [
+        formatDrainKey("vm", vm.id),
+        formatDrainKey("domain", fabricDomain),
+        formatDrainKey("data-centre", dataCentre),
+    ];
+    return keys.some(key => configuration.entries.get(key)?.value !== undefined);
+}
+
+function listValues(configuration: Configuration): ConfigurationValue[] {
+    const values: ConfigurationValue[] = [];
+    for (const entry of configuration.entries.values()) {
+        if (entry.value !== undefined) {
+            values.push(entry.value);
+        }
+    }
+    return values;
+}
--- /dev/null
+++ b/packages/control/src/controlMachine.ts
@@ -0,0 +1,32 @@
+import type { StateMachine } from "@kumquathall/consensus";
+import {
+    applyCommand,
+    type ControlState,
+    createControlState,
+    decodeState,
+    encodeState,
+} from "@kumquathall/control-state";
+import type { Command, CommandResult } from "@kumquathall/types";
+
+/** The replicated state machine: the control state behind the log. */
+export class ControlMachine implements StateMachine<Command, CommandResult> {
+    private state: ControlState = createControlState();
+
+    getState(): ControlState {
+        return this.state;
+    }
+
+    apply(command: Command, index: number, term: number): CommandResult {
+        const applied = applyCommand(this.state, command, { index, term });
+        this.state = applied.state;
+        return applied.result;
+    }
+
+    saveSnapshot(): Uint8Array {
+        return encodeState(this.state);
+    }
+
+    loadSnapshot(data: Uint8Array): void {
+        this.state = decodeState(data);
+    }
+}
--- /dev/null
+++ b/packages/control/src/distributor.ts
@@ -0,0 +1,51 @@
+import type { Link } from "@kumquathall/link";
+import type { ConfigurationUpdate, ConfigurationValue } from "@kumquathall/types";
+import { computeUpdate, type VersionedMap } from "@kumquathall/versioned-map";
+
+/** Changes within this time reach a subscriber as one delta, in milliseconds. */
+const COALESCE_MS = 20;
+
+/** Sends configuration deltas to subscribed links. */
+export class Distributor {
+    /** Revision that each subscriber was last sent. */
+    private readonly subscribers = new Map<Link, number>();
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly getConfiguration: () => VersionedMap<ConfigurationValue>) {}
+
+    /** Registers a link and returns what it lacks. */
+    subscribe(link: Link, since: number): ConfigurationUpdate {
+        const update = computeUpdate(this.getConfiguration(), since);
+        this.subscribers.set(link, update.revision);
+        return update;
+    }
+
+    unsubscribe(link: Link): void {
+        this.subscribers.delete(link);
+    }
+
+    /** Sends what changed to all subscribers soon; calls in between are covered by the same push. */
+    schedulePush(): void {
+        this.timer ??= setTimeout(() => this.push(), COALESCE_MS);
+    }
+
+    close(): void {
+        clearTimeout(this.timer);
+    }
+
+    private push(): void {
+        this.timer = undefined;
+        const configuration = this.getConfiguration();
+        // Subscribers at the same revision share one delta.
+        const updates = new Map<number, ConfigurationUpdate>();
+        for (const [link, since] of this.subscribers) {
+            if (since >= configuration.revision) {
+                continue;
+            }
+            const update = updates.get(since) ?? computeUpdate(configuration, since);
+            updates.set(since, update);
+            link.cast({ kind: "update", update });
+            this.subscribers.set(link, configuration.revision);
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/status.ts
@@ -0,0 +1,38 @@
+import type { ConsensusRuntime } from "@kumquathall/consensus";
+import { buildStatusMeasures } from "@kumquathall/control-state";
+import type { Command, CommandResult, ControlStatus } from "@kumquathall/types";
+import type { ControlMachine } from "./controlMachine.js";
+
+const MS_PER_SECOND = 1000;
+const MS_PER_HOUR = 3_600_000;
+
+/** What the status command shows, from the applied state. */
+export function buildStatus(
+    leader: string,
+    runtime: ConsensusRuntime<Command, CommandResult>,
+    machine: ControlMachine,
+): ControlStatus {
+    const state = machine.getState();
+    const consensus = runtime.getState();
+    const current = buildStatusMeasures(state);
+    const elapsedMs = state.measures.lastAt === 0 ? 0 : Math.max(0, Date.now() - state.measures.lastAt);
+    const sumSince = (stored: number | undefined, now: number) => (stored ?? 0) + now * elapsedMs;
+    return {
+        leader,
+        term: consensus.hardState.term,
+        revision: state.configuration.revision,
+        members: [...runtime.getMembers()],
+        groupDowntimeSeconds: current.map(item => ({
+            institution: item.institution,
+            seconds: sumSince(state.measures.groupDowntimeMs.get(item.institution), item.missingGroups) / MS_PER_SECOND,
+        })),
+        strandedAcceleratorHours: current.map(item => ({
+            institution: item.institution,
+            hours: sumSince(state.measures.strandedAcceleratorMs.get(item.institution), item.strandedAccelerators)
+                / MS_PER_HOUR,
+        })),
+        strandedAccelerators: current.reduce((sum, item) => sum + item.strandedAccelerators, 0),
+        logEntries: consensus.entries.length,
+        ledgerKeys: state.ledger.size,
+    };
+}
--- /dev/null
+++ b/packages/entry/src/callerRequest.ts
@@ -0,0 +1,210 @@
+import { ProblemCode, RefusalError } from "@kumquathall/errors";
+import { computePrefixHashes } from "@kumquathall/routing";
+import { type AccountTerms, type HeaderField, type ServiceDefinition, ServiceKind } from "@kumquathall/types";
+import { createHash } from "node:crypto";
+import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import type { AccountIndex, AccountMatch } from "./accountIndex.js";
+import type { AdmittedRequest } from "./dispatcher.js";
+import { DEFAULT_KEY_HEADER, findIdempotencyKey, findRequestTerms } from "./requestTerms.js";
+
+/** A caller's request once its service, account and terms are known. */
+export interface CallerRequest {
+    account: AccountTerms;
+    request: AdmittedRequest;
+}
+
+const CHAT_PATH = "/v1/chat/completions";
+const SERVICES_PREFIX = "/services/";
+const DEADLINE_HEADER = "kumquathall-deadline-ms";
+const MAX_HEADERS = 64;
+/** Headers of a caller that reach a plain service; all others concern the connection, the caller's key, or nobody. */
+const FORWARDED_HEADERS = [
+    "content-type",
+    "accept",
+    "accept-language",
+    "if-match",
+    "if-none-match",
+    DEFAULT_KEY_HEADER,
+    "traceparent",
+];
+
+interface ChatBody {
+    model: string;
+    messages: { role: string; content: string }[];
+    stream: boolean;
+}
+
+/** Finds accounts by the `Authorization: Bearer` header. Throws a {@link RefusalError} without a known key. */
+export function authenticate(request: IncomingMessage, accounts: AccountIndex): AccountMatch[] {
+    if (request.rawHeaders.length > MAX_HEADERS * 2) {
+        throw new RefusalError(ProblemCode.BadRequest, `more than ${MAX_HEADERS} headers`);
+    }
+    const match = /^Bearer (\S{1,512})$/.exec(request.headers.authorization ?? "");
+    if (match === null) {
+        throw new RefusalError(ProblemCode.Unauthorized, 'send your account\'s key as "Authorization: Bearer KEY"');
+    }
+    const matches = accounts.findMatches(match[1]);
+    if (matches.length === 0) {
+        throw new RefusalError(ProblemCode.Unauthorized, "no account has this key");
+    }
+    return matches;
+}
+
+/** Resolves a caller's request against the terms in force. Throws a {@link RefusalError}. */
+export function resolveRequest(
+    requestId: string,
+    request: IncomingMessage,
+    body: Buffer,
+    matches: AccountMatch[],
+): CallerRequest {
+    const url = request.url ?? "/";
+    const [path] = url.split("?", 1);
+    if (path === CHAT_PATH) {
+        return resolveChat(requestId, request, body, matches);
+    }
+    if (path.startsWith(SERVICES_PREFIX)) {
+        return resolvePlain(requestId, request, body, matches, url);
+    }
+    throw new RefusalError(
+        ProblemCode.NotFound,
+        `no such path; models are at ${CHAT_PATH}, services below ${SERVICES_PREFIX}NAME/`,
+    );
+}
+
+function resolveChat(
+    requestId: string,
+    request: IncomingMessage,
+    body: Buffer,
+    matches: AccountMatch[],
+): CallerRequest {
+    if (request.method !== "POST") {
+        throw new RefusalError(ProblemCode.BadRequest, `${CHAT_PATH} takes POST`);
+    }
+    const chat = parseChat(body);
+    const match = matches.find(item =>
+        item.service.kind === ServiceKind.Model && item.service.models.some(model => model.name === chat.model)
+    );
+    if (match === undefined) {
+        throw new RefusalError(ProblemCode.UnknownModel, `no service of this account serves model "${chat.model}"`);
+    }
+    const prompt = chat.messages.map(message => message.content).join("\n");
+    const headers = [{ name: "content-type", value: "application/json" }];
+    const admitted = buildRequest(requestId, request, body, match, CHAT_PATH, headers);
+    return {
+        account: match.account,
+        request: { ...admitted, isStream: chat.stream, prefixHashes: computePrefixHashes(prompt) },
+    };
+}
+
+function parseChat(body: Buffer): ChatBody {
+    let parsed: Partial<ChatBody>;
+    try {
+        parsed = JSON.parse(body.toString("utf8")) as Partial<ChatBody>;
+    }
+    catch {
+        throw new RefusalError(ProblemCode.BadRequest, "the body is not JSON");
+    }
+    if (typeof parsed !== "object" || parsed === null || typeof parsed.model !== "string") {
+        throw new RefusalError(ProblemCode.BadRequest, "/model: must be a string");
+    }
+    if (!Array.isArray(parsed.messages) || !parsed.messages.every(message => typeof message?.content === "string")) {
+        throw new RefusalError(ProblemCode.BadRequest, '/messages: must be a list of objects with a string "content"');
+    }
+    return { model: parsed.model, messages: parsed.messages, stream: parsed.stream === true };
+}
+
+function resolvePlain(
+    requestId: string,
+    request: IncomingMessage,
+    body: Buffer,
+    matches: AccountMatch[],
+    url: string,
+): CallerRequest {
+    const rest = url.slice(SERVICES_PREFIX.length);
+    const slash = rest.indexOf("/");
+    const name = slash < 0 ? rest : rest.slice(0, slash);
+    const match = matches.find(item => item.service.service === name && item.service.kind === ServiceKind.Plain);
+    if (match === undefined) {
+        throw new RefusalError(ProblemCode.UnknownService, `this account has no service "${name}"`);
+    }
+    const target = slash < 0 ? "/" : rest.slice(slash);
+    if (target.split(/[/?#]/).includes("..")) {
+        throw new RefusalError(ProblemCode.BadRequest, 'the path may not contain ".."');
+    }
+    const admitted = buildRequest(requestId, request, body, match, target, selectHeaders(request.headers));
+    return { account: match.account, request: admitted };
+}
+
+function buildRequest(
+    requestId: string,
+    request: IncomingMessage,
+    body: Buffer,
+    match: AccountMatch,
+    path: string,
+    headers: HeaderField[],
+): AdmittedRequest {
+    const { service, account } = match;
+    const method = request.method ?? "GET";
+    const terms = findRequestTerms(service, method, path.split("?", 1)[0]);
+    const ledgerKey = terms.repeatable ? undefined : findLedgerKey(service, account, terms, request.headers, body);
+    const digest = createHash("sha256").update(`${method} ${path}\n`).update(body).digest("hex");
+    return {
+        requestId,
+        service,
+        method,
+        path,
+        headers,
+        body,
+        isStream: false,
+        isRepeatable: terms.repeatable,
+        ledgerKey,
+        digest,
+        fingerprint: createHash("sha256").update(`${service.institution}/${service.service}\n${digest}`).digest("hex")
+            .slice(0, 32),
+        prefixHashes: [],
+        priority: account.priority,
+        deadline: performance.now() + readDeadlineMs(request.headers, service),
+    };
+}
+
+function findLedgerKey(
+    service: ServiceDefinition,
+    account: AccountTerms,
+    terms: ReturnType<typeof findRequestTerms>,
+    headers: IncomingHttpHeaders,
+    body: Buffer,
+): string {
+    const key = findIdempotencyKey(terms, headers, body);
+    if (key === undefined) {
+        const place = terms.key?.bodyField === undefined
+            ? `header "${terms.key?.header ?? DEFAULT_KEY_HEADER}"`
+            : `body field "${terms.key.bodyField}"`;
+        throw new RefusalError(
+            ProblemCode.KeyMissing,
+            `${terms.method} ${terms.path} may not be repeated: give it a key of its own in the ${place}`,
+        );
+    }
+    return `${service.institution}/${service.service}/${account.name}/${key}`;
+}
+
+function readDeadlineMs(headers: IncomingHttpHeaders, service: ServiceDefinition): number {
+    const value = headers[DEADLINE_HEADER];
+    if (value === undefined) {
+        return service.deadlineMs;
+    }
+    const given = Number(value);
+    if (!Number.isInteger(given) || given <= 0) {
+        throw new RefusalError(
+            ProblemCode.BadRequest,
+            `header "${DEADLINE_HEADER}": must be a whole number of milliseconds above 0`,
+        );
+    }
+    return Math.min(given, service.deadlineMs);
+}
+
+function selectHeaders(headers: IncomingHttpHeaders): HeaderField[] {
+    return FORWARDED_HEADERS.flatMap(name => {
+        const value = headers[name];
+        return typeof value === "string" ? [{ name, value }] : [];
+    });
+}
--- /dev/null
+++ b/packages/entry/src/httpDoor.ts
@@ -0,0 +1,64 @@
+import { parseAddress } from "@kumquathall/link";
+import { readFileSync } from "node:fs";
+import { createServer, type RequestListener, type Server } from "node:http";
+import { createServer as createSecureServer } from "node:https";
+
+export interface HttpDoorOptions {
+    address: string;
+    httpsFiles: { certificateFile: string; keyFile: string } | undefined;
+    requestTimeoutMs: number;
+    listener: RequestListener;
+}
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const CERTIFICATE_CHECK_MS = 5000;
+
+/** The HTTP or HTTPS server towards callers and operators. */
+export class HttpDoor {
+    private certificateTimer: NodeJS.Timeout | undefined;
+
+    private constructor(private readonly server: Server) {}
+
+    static async listen(options: HttpDoorOptions): Promise<HttpDoor> {
+        const limits = { maxHeaderSize: MAX_HEADER_BYTES, insecureHTTPParser: false, keepAliveTimeout: 60_000 };
+        const timeouts = { headersTimeout: options.requestTimeoutMs, requestTimeout: options.requestTimeoutMs * 2 };
+        const server = options.httpsFiles === undefined
+            ? createServer({ ...limits, ...timeouts }, options.listener)
+            : createSecureServer({ ...limits, ...timeouts, ...readFiles(options.httpsFiles) }, options.listener);
+        const door = new HttpDoor(server);
+        const { host, port } = parseAddress(options.address);
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, host, () => resolve());
+        });
+        door.watchCertificate(options);
+        return door;
+    }
+
+    /** Stops accepting connections; idle ones are closed, busy ones may finish. */
+    stopAccepting(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    close(): void {
+        clearInterval(this.certificateTimer);
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    /** Replaced certificate files are used for new connections without a restart. */
+    private watchCertificate(options: HttpDoorOptions): void {
+        const { httpsFiles } = options;
+        if (httpsFiles === undefined || !("setSecureContext" in this.server)) {
+            return;
+        }
+        const server = this.server as Server & { setSecureContext: (files: { cert: string; key: string }) => void };
+        this.certificateTimer = setInterval(() => server.setSecureContext(readFiles(httpsFiles)), CERTIFICATE_CHECK_MS);
+        this.certificateTimer.unref();
+    }
+}
+
+function readFiles(files: { certificateFile: string; keyFile: string }): { cert: string; key: string } {
+    return { cert: readFileSync(files.certificateFile, "utf8"), key: readFileSync(files.keyFile, "utf8") };
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,9 @@
+/** The entry role. Importing this package registers it with the kernel. */
+export { AccountIndex } from "./accountIndex.js";
+export { EntryPlugin, type EntrySettings } from "./entryPlugin.js";
+export { PROBLEM_STATUS } from "./problemAnswer.js";
+export { findIdempotencyKey, findRequestTerms } from "./requestTerms.js";
+import { registerRolePlugin } from "@kumquathall/kernel";
+import { EntryPlugin } from "./entryPlugin.js";
+
+registerRolePlugin(new EntryPlugin());
--- /dev/null
+++ b/packages/entry/src/requestTerms.ts
@@ -0,0 +1,49 @@
+import type { RequestTerms, ServiceDefinition } from "@kumquathall/types";
+import type { IncomingHttpHeaders } from "node:http";
+
+/** Header that carries the idempotency key unless the terms name another place. */
+export const DEFAULT_KEY_HEADER = "idempotency-key";
+const MAX_KEY_LENGTH = 200;
+
+/** The terms of a request: those of the longest declared path that matches; without any, safe methods may be repeated and others not. */
+export function findRequestTerms(service: ServiceDefinition, method: string, path: string): RequestTerms {
+    let best: RequestTerms | undefined;
+    for (const terms of service.requests) {
+        const isMatch = terms.method === method
+            && (path === terms.path || path.startsWith(terms.path.endsWith("/") ? terms.path : `${terms.path}/`));
+        if (isMatch && (best === undefined || terms.path.length > best.path.length)) {
+            best = terms;
+        }
+    }
+    return best ?? { method, path, repeatable: method === "GET" || method === "HEAD" || service.kind === "model" };
+}
+
+/** The idempotency key where the terms say it is; `undefined` when it is missing, empty or too long. */
+export function findIdempotencyKey(
+    terms: RequestTerms,
+    headers: IncomingHttpHeaders,
+    body: Uint8Array,
+): string | undefined {
+    const bodyField = terms.key?.bodyField;
+    const value = bodyField === undefined
+        ? headers[(terms.key?.header ?? DEFAULT_KEY_HEADER).toLowerCase()]
+        : readField(body, bodyField);
+    return typeof value === "string" && value.length > 0 && value.length <= MAX_KEY_LENGTH ? value : undefined;
+}
+
+function readField(body: Uint8Array, pointer: string): unknown {
+    let value: unknown;
+    try {
+        value = JSON.parse(Buffer.from(body).toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+    for (const part of pointer.split("/").slice(1)) {
+        if (typeof value !== "object" || value === null) {
+            return undefined;
+        }
+        value = (value as Record<string, unknown>)[part];
+    }
+    return value;
+}
--- /dev/null
+++ b/packages/link/src/index.ts
@@ -0,0 +1,13 @@
+/** Inner links: cbor frames over TCP or TLS with calls, heartbeats and reconnection. */
+export { encodeFrame, FrameDecoder, FrameError, MAX_FRAME_BYTES } from "./frame.js";
+export {
+    Link,
+    type LinkCallHandler,
+    LinkError,
+    type LinkHandlers,
+    type LinkOptions,
+    type PeerIdentity,
+} from "./link.js";
+export { LinkDialer, type LinkDialerOptions } from "./linkDialer.js";
+export { LinkListener, type LinkListenerOptions } from "./linkListener.js";
+export { type Address, parseAddress, type TlsMaterial } from "./transport.js";
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,2 @@
+/** Structured logs: one line of key=value pairs for each event. */
+export { createLogger, formatEvent, type LogFields, type Logger, type LogLevel } from "./logger.js";
--- /dev/null
+++ b/packages/operator-client/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators' interface of an entry, as typed calls. */
+export { type ConfigurationView, OperatorClient, OperatorClientError } from "./operatorClient.js";
--- /dev/null
+++ b/packages/planner/src/objective.ts
@@ -0,0 +1,70 @@
+import type { ServiceDefinition, VmRecord } from "@kumquathall/types";
+
+/** What a service's declared weights ask of placement. */
+export abstract class Objective {
+    /** VMs of each fabric domain that stay free, so that a lost VM is replaced at once. */
+    abstract countSpares(service: ServiceDefinition): number;
+    /** Whether free VMs beyond the spares form groups above the declared capacity. */
+    abstract usesSurplus(service: ServiceDefinition): boolean;
+    /** Cost of forming a group from these VMs; the cheapest fabric domain is taken. */
+    abstract scoreMembers(
+        service: ServiceDefinition,
+        members: VmRecord[],
+        freeInDomain: number,
+        warmth: string,
+    ): number;
+}
+
+/** Cost of loading one cold VM relative to leaving one VM of a domain without partners. */
+const COLD_LOAD_COST = 10;
+
+/** Keeps spares and prefers members that hold the weights already: the shortest time to serve again. */
+export class DowntimeObjective extends Objective {
+    override countSpares(service: ServiceDefinition): number {
+        return Math.max(1, Math.round(service.replicaGroup.vms / 16));
+    }
+
+    override usesSurplus(): boolean {
+        return false;
+    }
+
+    override scoreMembers(
+        service: ServiceDefinition,
+        members: VmRecord[],
+        freeInDomain: number,
+        warmth: string,
+    ): number {
+        const coldMembers = members.filter(vm => vm.warmFor !== warmth).length;
+        // A domain with VMs to spare can repair the group again after a second loss.
+        const sparesLeft = Math.min(freeInDomain - members.length, service.replicaGroup.vms);
+        return coldMembers * COLD_LOAD_COST - sparesLeft;
+    }
+}
+
+/** Uses every VM: fills domains tightly and forms groups above the declared capacity from what is left. */
+export class StrandedObjective extends Objective {
+    override countSpares(): number {
+        return 0;
+    }
+
+    override usesSurplus(): boolean {
+        return true;
+    }
+
+    override scoreMembers(
+        service: ServiceDefinition,
+        members: VmRecord[],
+        freeInDomain: number,
+        warmth: string,
+    ): number {
+        const coldMembers = members.filter(vm => vm.warmFor !== warmth).length;
+        const leftover = (freeInDomain - members.length) % service.replicaGroup.vms;
+        return leftover * COLD_LOAD_COST + coldMembers;
+    }
+}
+
+/** Chooses the objective that the service's weights favour. */
+export function selectObjective(service: ServiceDefinition): Objective {
+    const { groupDowntime, strandedAccelerators } = service.objective;
+    return groupDowntime >= strandedAccelerators ? new DowntimeObjective() : new StrandedObjective();
+}
--- /dev/null
+++ b/packages/planner/src/rebuildObjective.ts
@@ -0,0 +1,16 @@
+import { Objective } from "./objective.js";
+
+/** Baseline for measurements: forms every group from scratch in the first domain that has room, and keeps nothing spare. */
+export class RebuildObjective extends Objective {
+    override countSpares(): number {
+        return 0;
+    }
+
+    override usesSurplus(): boolean {
+        return false;
+    }
+
+    override scoreMembers(): number {
+        return 0;
+    }
+}
--- /dev/null
+++ b/packages/quickstart/src/index.ts
@@ -0,0 +1,2 @@
+/** The demonstration behind `npm run quickstart`. */
+export { runQuickstart } from "./runQuickstart.js";
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,16 @@
+/** Routing policies: plug-ins that register themselves by name. */
+export { estimateLoad } from "./load.js";
+export {
+    type Candidate,
+    createRoutingPolicy,
+    listRoutingPolicies,
+    registerRoutingPolicy,
+    RoutingPolicy,
+    type RoutingRequest,
+} from "./policy.js";
+export { computePrefixHashes, PREFIX_BLOCK_CHARACTERS } from "./prefix.js";
+import "./plainPolicies.js";
+import "./affinityPolicy.js";
+export { PrefixAffinityPolicy } from "./affinityPolicy.js";
+export { PrefixCacheView } from "./cacheView.js";
+export { StragglerDetector, type StragglerOptions } from "./straggler.js";
--- /dev/null
+++ b/packages/storage/src/index.ts
@@ -0,0 +1,6 @@
+/** Durable log and snapshots in one data folder. */
+export { Disk, type DiskFile } from "./disk.js";
+export { LogStore, type LogStoreOptions, type RecoveredState } from "./logStore.js";
+export { MemoryDisk } from "./memoryDisk.js";
+export { NodeDisk } from "./nodeDisk.js";
+export { decodeBlocks, encodeBlock, FORMAT_VERSION, StorageError } from "./record.js";
--- /dev/null
+++ b/packages/storage/src/logStore.ts
@@ -0,0 +1,185 @@
+import { describeError } from "@kumquathall/errors";
+import type { HardState, LogEntry, Snapshot } from "@kumquathall/types";
+import type { Disk, DiskFile } from "./disk.js";
+import { decodeBlocks, encodeBlock, StorageError } from "./record.js";
+
+export interface LogStoreOptions {
+    disk: Disk;
+}
+
+/** What a data folder holds when it is opened. */
+export interface RecoveredState<Payload> {
+    hardState: HardState;
+    snapshot: Snapshot | undefined;
+    /** Entries after the snapshot, in order. */
+    entries: LogEntry<Payload>[];
+    /** Bytes of a torn write that were cut off. */
+    cutBytes: number;
+}
+
+type LogRecord<Payload> =
+    | { kind: "hardState"; hardState: HardState }
+    | { kind: "entry"; entry: LogEntry<Payload> };
+
+const SEGMENT_PATTERN = /^log-(\d{16})$/;
+const SNAPSHOT_PATTERN = /^snapshot-(\d{16})$/;
+
+/** The replicated log of one member on disk: segments of checksummed blocks, and the newest snapshot. */
+export class LogStore<Payload> {
+    private segment: DiskFile | undefined;
+    private segmentNumber = 0;
+
+    private constructor(private readonly disk: Disk) {}
+
+    /** Opens a data folder and recovers its state. Throws {@link StorageError} on corruption other than a torn tail. */
+    static async open<Payload>(
+        options: LogStoreOptions,
+    ): Promise<{ store: LogStore<Payload>; recovered: RecoveredState<Payload> }> {
+        const store = new LogStore<Payload>(options.disk);
+        const recovered = await store.recover();
+        return { store, recovered };
+    }
+
+    /** Appends a vote, a truncation implied by entry indexes, and entries as one block, and syncs once. */
+    async append(hardState: HardState | undefined, entries: LogEntry<Payload>[]): Promise<void> {
+        const records: LogRecord<Payload>[] = [];
+        if (hardState !== undefined) {
+            records.push({ kind: "hardState", hardState });
+        }
+        for (const entry of entries) {
+            records.push({ kind: "entry", entry });
+        }
+        if (records.length === 0) {
+            return;
+        }
+        await this.writeBlock(records);
+    }
+
+    /** Stores a snapshot, starts a segment with what remains of the log, and removes what the snapshot replaces. */
+    async saveSnapshot(snapshot: Snapshot, hardState: HardState, remaining: LogEntry<Payload>[]): Promise<void> {
+        try {
+            await this.disk.replace(formatName("snapshot", snapshot.index), encodeBlock([snapshot]));
+            const previous = this.segment;
+            this.segmentNumber++;
+            this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
+            const entries = remaining.map(entry => ({ kind: "entry" as const, entry }));
+            await this.writeBlock([{ kind: "hardState", hardState }, ...entries]);
+            await previous?.close();
+            await this.removeObsolete(snapshot.index);
+        }
+        catch (error) {
+            throw error instanceof StorageError
+                ? error
+                : new StorageError(`snapshot not stored: ${describeError(error)}`, error);
+        }
+    }
+
+    /** Closes the open segment. */
+    async close(): Promise<void> {
+        await this.segment?.close();
+    }
+
+    private async writeBlock(records: LogRecord<Payload>[]): Promise<void> {
+        if (this.segment === undefined) {
+            throw new StorageError("the log is not open");
+        }
+        try {
+            await this.segment.append(encodeBlock(records));
+            await this.segment.sync();
+        }
+        catch (error) {
+            throw new StorageError(
+                `log not written: ${describeError(error)}. Check the disk for errors and free space`,
+                error,
+            );
+        }
+    }
+
+    private async recover(): Promise<RecoveredState<Payload>> {
+        const names = await this.disk.list();
+        const snapshot = await this.readNewestSnapshot(names);
+        const state: RecoveredState<Payload> = {
+            hardState: { term: 0, votedFor: undefined },
+            snapshot,
+            entries: [],
+            cutBytes: 0,
+        };
+        const segments = names.filter(name => SEGMENT_PATTERN.test(name));
+        for (const name of segments) {
+            await this.recoverSegment(name, name === segments.at(-1), state);
+        }
+        state.entries = state.entries.filter(entry => entry.index > (snapshot?.index ?? 0));
+        checkContinuity(state);
+        this.segmentNumber = segments.length === 0 ? 1 : Number(SEGMENT_PATTERN.exec(segments.at(-1) ?? "")?.[1]);
+        this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
+        return state;
+    }
+
+    private async recoverSegment(name: string, isLast: boolean, state: RecoveredState<Payload>): Promise<void> {
+        const file = Buffer.from(await this.disk.read(name));
+        const decoded = decodeBlocks(name, file);
+        if (decoded.validBytes < file.length) {
+            if (!isLast) {
+                throw new StorageError(`${name}: damaged at offset ${decoded.validBytes}, and a later segment exists`);
+            }
+            state.cutBytes = file.length - decoded.validBytes;
+            await this.disk.truncate(name, decoded.validBytes);
+        }
+        for (const record of decoded.records as LogRecord<Payload>[]) {
+            applyRecord(state, record);
+        }
+    }
+
+    private async readNewestSnapshot(names: string[]): Promise<Snapshot | undefined> {
+        const newest = names.filter(name => SNAPSHOT_PATTERN.test(name)).at(-1);
+        if (newest === undefined) {
+            return undefined;
+        }
+        const file = Buffer.from(await this.disk.read(newest));
+        const decoded = decodeBlocks(newest, file);
+        if (decoded.records.length !== 1) {
+            throw new StorageError(
+                `${newest}: damaged at offset ${decoded.validBytes}. Remove this member's data folder and start it again`,
+            );
+        }
+        return decoded.records[0] as Snapshot;
+    }
+
+    private async removeObsolete(snapshotIndex: number): Promise<void> {
+        for (const name of await this.disk.list()) {
+            const segment = SEGMENT_PATTERN.exec(name);
+            const snapshot = SNAPSHOT_PATTERN.exec(name);
+            const isObsolete = (segment !== null && Number(segment[1]) < this.segmentNumber)
+                || (snapshot !== null && Number(snapshot[1]) < snapshotIndex) || name.endsWith(".tmp");
+            if (isObsolete) {
+                await this.disk.remove(name);
+            }
+        }
+    }
+}
+
+function applyRecord<Payload>(state: RecoveredState<Payload>, record: LogRecord<Payload>): void {
+    if (record.kind === "hardState") {
+        state.hardState = record.hardState;
+        return;
+    }
+    // An entry replaces whatever was written before at its index and above.
+    while (state.entries.length > 0 && state.entries[state.entries.length - 1].index >= record.entry.index) {
+        state.entries.pop();
+    }
+    state.entries.push(record.entry);
+}
+
+function checkContinuity<Payload>(state: RecoveredState<Payload>): void {
+    let expected = (state.snapshot?.index ?? 0) + 1;
+    for (const entry of state.entries) {
+        if (entry.index !== expected) {
+            throw new StorageError(`the log jumps from index ${expected - 1} to ${entry.index}`);
+        }
+        expected++;
+    }
+}
+
+function formatName(kind: "log" | "snapshot", number: number): string {
+    return `${kind}-${String(number).padStart(16, "0")}`;
+}
--- /dev/null
+++ b/packages/storage/src/nodeDisk.ts
@@ -0,0 +1,69 @@
+import { mkdirSync } from "node:fs";
+import { type FileHandle, open, readdir, readFile, rename, truncate, unlink } from "node:fs/promises";
+import { join } from "node:path";
+import { Disk, type DiskFile } from "./disk.js";
+
+/** Files below a real folder. */
+export class NodeDisk extends Disk {
+    constructor(private readonly folder: string) {
+        super();
+        mkdirSync(folder, { recursive: true });
+    }
+
+    override async list(): Promise<string[]> {
+        return (await readdir(this.folder)).sort();
+    }
+
+    override read(name: string): Promise<Uint8Array> {
+        return readFile(join(this.folder, name));
+    }
+
+    override async openForAppend(name: string): Promise<DiskFile> {
+        const handle = await open(join(this.folder, name), "a");
+        await this.syncFolder();
+        return new NodeDiskFile(handle);
+    }
+
+    override async truncate(name: string, bytes: number): Promise<void> {
+        await truncate(join(this.folder, name), bytes);
+        const handle = await open(join(this.folder, name), "r+");
+        await handle.sync();
+        await handle.close();
+    }
+
+    override async replace(name: string, data: Uint8Array): Promise<void> {
+        const temporary = join(this.folder, `${name}.tmp`);
+        const handle = await open(temporary, "w");
+        await handle.writeFile(data);
+        await handle.sync();
+        await handle.close();
+        await rename(temporary, join(this.folder, name));
+        await this.syncFolder();
+    }
+
+    override async remove(name: string): Promise<void> {
+        await unlink(join(this.folder, name));
+    }
+
+    private async syncFolder(): Promise<void> {
+        const handle = await open(this.folder, "r");
+        await handle.sync();
+        await handle.close();
+    }
+}
+
+class NodeDiskFile implements DiskFile {
+    constructor(private readonly handle: FileHandle) {}
+
+    async append(data: Uint8Array): Promise<void> {
+        await this.handle.writeFile(data);
+    }
+
+    async sync(): Promise<void> {
+        await this.handle.datasync();
+    }
+
+    async close(): Promise<void> {
+        await this.handle.close();
+    }
+}
--- /dev/null
+++ b/packages/types/src/configuration.ts
@@ -0,0 +1,132 @@
+/** The configuration that control distributes: what every entry and agent must believe. */
+import type { ServiceDefinition } from "./service.js";
+
+/** Revision of a configuration entry: the log index of the command that wrote it. */
+export type Revision = number;
+
+/** Fencing number of an order: term and log index of the decision, compared in that order. */
+export interface FencingNumber {
+    term: number;
+    index: number;
+}
+
+export const GroupState = {
+    /** Members are ordered to load. */
+    Loading: "loading",
+    /** Every member is loaded; the head may serve while its leases hold. */
+    Serving: "serving",
+    /** No new requests; those in flight complete. */
+    Draining: "draining",
+    /** Members stop their engines and confirm; then the group disappears. */
+    Releasing: "releasing",
+} as const;
+export type GroupStateValue = (typeof GroupState)[keyof typeof GroupState];
+
+/** A model version with its adapters, as an engine is ordered to load it. */
+export interface ModelLoad {
+    model: string;
+    version: string;
+    adapters: string[];
+}
+
+/** One replica group. The first VM is the head. */
+export interface ReplicaGroup {
+    id: string;
+    institution: string;
+    service: string;
+    serviceVersion: number;
+    vms: string[];
+    models: ModelLoad[];
+    state: GroupStateValue;
+    fencing: FencingNumber;
+    /** VMs that have confirmed the load. */
+    loadedVms: string[];
+    /** Why the group is leaving, if it is. */
+    reason?: string;
+}
+
+export const FencingSupport = { Enforced: "enforced", Ignored: "ignored" } as const;
+export type FencingSupportValue = (typeof FencingSupport)[keyof typeof FencingSupport];
+
+/** What an agent announces about its VM. */
+export interface VmAttributes {
+    dataCentre: string;
+    fabricDomain: string;
+    accelerators: number;
+    kind: "model" | "plain";
+    fencing: FencingSupportValue;
+    /** For a plain service: `institution/service`. */
+    service?: string;
+    /** The agent's process is stopping: its VM gets no new group, and its group is drained. */
+    isLeaving?: boolean;
+    /** Address on which the agent accepts links from the heads of groups. */
+    address: string;
+}
+
+export const VmState = {
+    /** Engine empty, agent connected: may be assigned. */
+    Free: "free",
+    /** Belongs to exactly one group. */
+    Assigned: "assigned",
+    /** Must confirm release under its newest fencing number before it is free. */
+    Releasing: "releasing",
+} as const;
+export type VmStateValue = (typeof VmState)[keyof typeof VmState];
+
+/** One endpoint VM as control knows it. */
+export interface VmRecord {
+    id: string;
+    incarnation: string;
+    attributes: VmAttributes;
+    state: VmStateValue;
+    groupId?: string;
+    fencing: FencingNumber;
+    /** Service version whose weights the engine still holds after a release; a load of the same version is quick. */
+    warmFor?: string;
+    /** `false` once control has found it gone; an agent's next announcement makes it `true`. */
+    present: boolean;
+}
+
+/** What a drain applies to. */
+export const DrainKind = { Vm: "vm", FabricDomain: "domain", DataCentre: "data-centre" } as const;
+export type DrainKindValue = (typeof DrainKind)[keyof typeof DrainKind];
+
+export interface DrainRecord {
+    kind: DrainKindValue;
+    name: string;
+    operator: string;
+}
+
+/** A request that was in flight at crashes, by fingerprint. */
+export interface SuspectRecord {
+    fingerprint: string;
+    service: string;
+    /** Incarnations of VMs whose engine crashed while running it. */
+    crashes: string[];
+    quarantined: boolean;
+}
+
+/** Every kind of value that the configuration map holds, by the prefix of its key. */
+export type ConfigurationValue =
+    | { kind: "service"; service: ServiceDefinition }
+    | { kind: "group"; group: ReplicaGroup }
+    | { kind: "vm"; vm: VmRecord }
+    | { kind: "drain"; drain: DrainRecord }
+    | { kind: "suspect"; suspect: SuspectRecord };
+
+/** One changed entry; `value` is `undefined` when the entry was removed. */
+export interface ConfigurationChange {
+    key: string;
+    revision: Revision;
+    value: ConfigurationValue | undefined;
+}
+
+/** A delta or snapshot of the configuration, as control and entries send it. */
+export interface ConfigurationUpdate {
+    /** Changes after this revision; ignored when `isSnapshot`. */
+    since: Revision;
+    /** The receiver is at this revision after applying the update. */
+    revision: Revision;
+    isSnapshot: boolean;
+    changes: ConfigurationChange[];
+}
--- /dev/null
+++ b/packages/types/src/service.ts
@@ -0,0 +1,79 @@
+/** What an operator declares about a service in its service file. */
+
+/** Whether a service is answered by model engines or by an ordinary HTTP service. */
+export const ServiceKind = { Model: "model", Plain: "plain" } as const;
+export type ServiceKindValue = (typeof ServiceKind)[keyof typeof ServiceKind];
+
+/** One model that a service serves. */
+export interface ModelTerms {
+    name: string;
+    version: string;
+    adapters: string[];
+}
+
+/** The shape of one replica group. */
+export interface ReplicaGroupTerms {
+    /** VMs that one replica spans; all in one fabric domain. */
+    vms: number;
+    acceleratorsPerVm: number;
+}
+
+/** How much the institution has contracted to hold. */
+export interface CapacityTerms {
+    /** Replica groups to keep serving. Ignored for plain services. */
+    groups: number;
+    /** Requests in flight over all entries. */
+    concurrentRequests: number;
+    /** Sustained requests a second over all entries. */
+    requestsPerSecond: number;
+}
+
+/** Relative weights of the two objectives. */
+export interface ObjectiveWeights {
+    groupDowntime: number;
+    strandedAccelerators: number;
+}
+
+/** A client account. Only the SHA-256 digest of its key is ever written down. */
+export interface AccountTerms {
+    name: string;
+    /** Hexadecimal SHA-256 of the account's key. */
+    keyDigest: string;
+    /** Share of the service relative to other accounts. */
+    weight: number;
+    /** Larger is served first; passed on to the engine. */
+    priority: number;
+}
+
+/** Where a non-idempotent request carries its idempotency key. */
+export interface KeyLocation {
+    header?: string;
+    /** JSON pointer of a string field in a JSON body. */
+    bodyField?: string;
+}
+
+/** Terms for the requests of one method and path prefix. */
+export interface RequestTerms {
+    method: string;
+    path: string;
+    /** `false`: the request has at-most-once semantics and needs an idempotency key. */
+    repeatable: boolean;
+    key?: KeyLocation;
+}
+
+/** The content of one service file. */
+export interface ServiceDefinition {
+    institution: string;
+    service: string;
+    /** Raised by the operator with every change. */
+    version: number;
+    kind: ServiceKindValue;
+    models: ModelTerms[];
+    replicaGroup: ReplicaGroupTerms;
+    capacity: CapacityTerms;
+    objective: ObjectiveWeights;
+    /** Longest time an answer may take, in milliseconds. */
+    deadlineMs: number;
+    accounts: AccountTerms[];
+    requests: RequestTerms[];
+}
