--- a/packages/agent/src/agentRole.ts
+++ b/packages/agent/src/agentRole.ts
@@ -75,6 +75,7 @@
     async close(): Promise<void> {
         clearInterval(this.timer);
         this.orders.close();
+        this.runs.close();
         this.monitor.close();
         this.leases.close();
         this.entries.close();
--- a/packages/agent/src/engineClient.ts
+++ b/packages/agent/src/engineClient.ts
@@ -1,5 +1,6 @@
 import { KumquathallError } from "@kumquathall/errors";
 import type { FencingNumber, HeaderField, ModelLoad, RunMessage } from "@kumquathall/types";
+import type { EventEmitter } from "node:events";
 import { Pool } from "undici";
 
 /** The engine could not be reached, or refused an order. */
@@ -18,6 +19,8 @@
     status: number;
     headers: HeaderField[];
     body: AsyncIterable<Uint8Array>;
+    /** Reads the whole body, in place of iterating over it. */
+    readWhole: () => Promise<Uint8Array>;
 }
 
 /** An engine's report on itself; its figures may be late. */
@@ -77,8 +80,8 @@
     /** Rejects when the engine is not there. */
     abstract readState(): Promise<EngineState>;
 
-    /** Runs one request. Rejects with {@link EngineError}. */
-    async run(message: RunMessage, signal: AbortSignal): Promise<EngineAnswer> {
+    /** Runs one request until it ends or `signal` emits `abort`. Rejects with {@link EngineError}. */
+    async run(message: RunMessage, signal: EventEmitter): Promise<EngineAnswer> {
         try {
             const headers: Record<string, string> = { "x-priority": String(message.priority) };
             for (const field of message.headers) {
@@ -92,7 +95,9 @@
                 body: hasBody ? message.body : undefined,
                 signal,
             });
-            return { status: response.statusCode, headers: selectHeaders(response.headers), body: response.body };
+            const { body } = response;
+            const readWhole = async () => new Uint8Array(await body.arrayBuffer());
+            return { status: response.statusCode, headers: selectHeaders(response.headers), body, readWhole };
         }
         catch (error) {
             throw new EngineError(
--- a/packages/agent/src/runManager.ts
+++ b/packages/agent/src/runManager.ts
@@ -15,6 +15,7 @@
 import type { StartDecision } from "./decideStart.js";
 import type { EngineClient } from "./engineClient.js";
 import { ExclusiveLane } from "./exclusiveLane.js";
+import { FinishedRuns } from "./finishedRuns.js";
 import { type RunEnd, RunTask } from "./runTask.js";
 
 export interface RunManagerOptions {
@@ -34,6 +35,7 @@
 const HOLD_FINISHED_MS = 5000;
 /** How long a run goes on without a connection to its entry, in milliseconds. */
 const DETACH_GRACE_MS = 5000;
+const CHECK_HELD_MS = 500;
 const LEDGER_POLL_MS = 100;
 /** How long the agent goes on telling the ledger about a run after its deadline, in milliseconds. */
 const LEDGER_AFTER_MS = 60_000;
@@ -44,8 +46,21 @@
     private readonly suspects = new ExclusiveLane();
     private running = 0;
     private drained: (() => void) | undefined;
+    private readonly finished: FinishedRuns;
+    private readonly timer: NodeJS.Timeout;
 
-    constructor(private readonly options: RunManagerOptions) {}
+    constructor(private readonly options: RunManagerOptions) {
+        this.finished = new FinishedRuns({
+            holdMs: HOLD_FINISHED_MS,
+            maxHeldBytes: options.maxHeldBytes,
+            onDropped: task => this.tasks.delete(task.message.requestId),
+        });
+        this.timer = setInterval(() => this.checkHeld(), CHECK_HELD_MS);
+    }
+
+    close(): void {
+        clearInterval(this.timer);
+    }
 
     /** Requests between the gate and the end of their runs. */
     countRunning(): number {
@@ -61,6 +76,9 @@
             case "runCredit":
                 this.tasks.get(message.requestId)?.addCredit(message.bytes);
                 return;
+            case "runTaken":
+                message.requestIds.forEach(requestId => this.finished.remove(requestId));
+                return;
             case "runCancel":
                 this.cancel(message.requestId);
                 return;
@@ -87,6 +105,20 @@
         });
     }
 
+    /** Forgets finished answers in time; running streams give up what was sent already when all hold too much together. */
+    private checkHeld(): void {
+        this.finished.expire(performance.now());
+        let heldBytes = this.finished.getHeldBytes();
+        const streaming = [...this.tasks.values()].filter(task => !task.isFinished() && task.getHeldBytes() > 0);
+        heldBytes += streaming.reduce((sum, task) => sum + task.getHeldBytes(), 0);
+        for (const task of streaming) {
+            if (heldBytes <= this.options.maxHeldBytes) {
+                return;
+            }
+            heldBytes -= task.message.ledgerKey === undefined ? task.dropSent() : 0;
+        }
+    }
+
     private cancel(requestId: string): void {
         const task = this.tasks.get(requestId);
         // A non-idempotent request goes on to its end, so that its resend has an answer.
@@ -127,8 +159,7 @@
             this.options.logger.error("run-failed", { request: message.requestId, message: String(error) });
         }
         this.running--;
-        this.dropHeldOutput();
-        setTimeout(() => this.tasks.delete(message.requestId), HOLD_FINISHED_MS).unref();
+        this.finished.add(task, performance.now());
         if (this.running === 0) {
             this.drained?.();
         }
@@ -329,22 +360,6 @@
             this.options.logger.warn("command-lost", { command: command.kind, message: String(error) });
         });
     }
-
-    /** Keeps held output under its bound: the oldest idempotent answers lose what was sent already. */
-    private dropHeldOutput(): void {
-        let held = 0;
-        for (const task of this.tasks.values()) {
-            held += task.getHeldBytes();
-        }
-        for (const task of this.tasks.values()) {
-            if (held <= this.options.maxHeldBytes) {
-                return;
-            }
-            if (task.message.ledgerKey === undefined) {
-                held -= task.dropSent();
-            }
-        }
-    }
 }
 
 function sendRefusal(link: Link, requestId: string, refusal: RunRefusal): void {
--- a/packages/agent/src/runTask.ts
+++ b/packages/agent/src/runTask.ts
@@ -1,6 +1,7 @@
 import { describeError, ProblemCode } from "@kumquathall/errors";
 import type { Link } from "@kumquathall/link";
 import type { AgentToEntry, HeaderField, RunMessage, RunRefusal, StoredAnswer } from "@kumquathall/types";
+import { EventEmitter } from "node:events";
 import type { XXHash, XXHashAPI } from "xxhash-wasm";
 import { type EngineAnswer, type EngineClient, EngineError } from "./engineClient.js";
 import { HeldOutput } from "./heldOutput.js";
@@ -33,8 +34,11 @@
     readonly message: RunMessage;
     private link: Link | undefined;
     private readonly output: HeldOutput;
-    private readonly digest: XXHash<bigint>;
-    private readonly abort = new AbortController();
+    /** Only for an answer that is sent in chunks. */
+    private digest: XXHash<bigint> | undefined;
+    /** An emitter costs a tenth of what an AbortController does. */
+    private readonly abort = new EventEmitter();
+    private isExpired = false;
     private status: number | undefined;
     private headers: HeaderField[] = [];
     private finalMessage: AgentToEntry | undefined;
@@ -46,7 +50,6 @@
         this.message = options.message;
         this.link = options.link;
         this.output = new HeldOutput(options.message.credit);
-        this.digest = options.hash.create64();
     }
 
     /** Whether the run ended and its final message was given to a connection. */
@@ -56,14 +59,15 @@
 
     /** Bytes held for the entry. */
     getHeldBytes(): number {
-        return this.output.getBytes();
+        const wholeBytes = this.finalMessage?.kind === "runWhole" ? this.finalMessage.data.length : 0;
+        return this.output.getBytes() + wholeBytes;
     }
 
     /** Runs to the end; never rejects. */
     async run(): Promise<RunEnd> {
-        const timer = setTimeout(() => this.abort.abort(), Math.max(1, this.options.deadline - performance.now()));
+        const timer = setTimeout(() => this.expire(), Math.max(1, this.options.deadline - performance.now()));
         try {
-            const answer = await this.options.engine.run(this.message, this.abort.signal);
+            const answer = await this.options.engine.run(this.message, this.abort);
             this.status = answer.status;
             this.headers = answer.headers;
             return this.message.isStream ? await this.relayStream(answer) : await this.relayWhole(answer);
@@ -85,7 +89,7 @@
     /** The entry no longer wants the answer. */
     cancel(): void {
         this.isCancelled = true;
-        this.abort.abort();
+        this.abort.emit("abort");
         this.wake?.();
     }
 
@@ -134,27 +138,29 @@
         return this.output.dropSent();
     }
 
+    private expire(): void {
+        this.isExpired = true;
+        this.abort.emit("abort");
+    }
+
     private async relayWhole(answer: EngineAnswer): Promise<RunEnd> {
-        const parts: Uint8Array[] = [];
-        let bytes = 0;
-        for await (const part of answer.body) {
-            parts.push(part);
-            bytes += part.length;
-        }
-        const body = parts.length === 1 ? parts[0] : Buffer.concat(parts);
-        this.digest.update(body);
+        const body = await answer.readWhole();
+        const bytes = body.length;
         if (bytes <= MAX_WHOLE_BYTES) {
             const { requestId } = this.message;
+            const digest = this.options.hash.h64Raw(body).toString(16);
             this.finishWith({
                 kind: "runWhole",
                 requestId,
                 status: answer.status,
                 headers: answer.headers,
                 data: body,
-                digest: this.formatDigest(),
+                digest,
             });
         }
         else {
+            this.digest = this.options.hash.create64();
+            this.digest.update(body);
             this.sendStart();
             for (let at = 0; at < bytes; at += MAX_UNSENT_BYTES) {
                 this.output.push(body.subarray(at, at + MAX_UNSENT_BYTES));
@@ -167,9 +173,11 @@
     }
 
     private async relayStream(answer: EngineAnswer): Promise<RunEnd> {
+        const digest = this.options.hash.create64();
+        this.digest = digest;
         this.sendStart();
         for await (const chunk of answer.body) {
-            this.digest.update(chunk);
+            digest.update(chunk);
             this.output.push(chunk);
             this.flush();
             while (this.output.countUnsentBytes() > MAX_UNSENT_BYTES && !this.isCancelled) {
@@ -235,7 +243,7 @@
     }
 
     private formatDigest(): string {
-        return this.digest.digest().toString(16);
+        return this.digest?.digest().toString(16) ?? "";
     }
 
     private handleFailure(error: unknown): RunEnd {
@@ -248,7 +256,7 @@
             const refusal = { code: ProblemCode.NotReady, message: error.message, retryAfterMs: undefined };
             return { kind: "notStarted", refusal };
         }
-        const isDeadline = this.abort.signal.aborted;
+        const isDeadline = this.isExpired;
         this.finishWith({
             kind: "runBroken",
             requestId,
--- a/packages/bench/src/benchProcesses.ts
+++ b/packages/bench/src/benchProcesses.ts
@@ -56,7 +56,7 @@
         ports: await allocatePorts(PORTS),
         engineUrls,
     });
-    const cluster = new ProcessCluster({ plan, folder: join(folder, "processes") });
+    const cluster = new ProcessCluster({ plan, folder: join(folder, "processes"), nodeArguments: readNodeArguments() });
     cluster.startAll();
     const client = new OperatorClient({ entryUrls: plan.entryUrls, key: DEMO_OPERATOR_KEY });
     const services = join(folder, "services");
@@ -85,6 +85,11 @@
     return { plan, cluster, client, engineUrls, close };
 }
 
+/** Arguments for the measured processes, for profiling a bench by hand. */
+function readNodeArguments(): string[] {
+    return (process.env.KUMQUATHALL_BENCH_NODE ?? "").split(" ").filter(argument => argument !== "");
+}
+
 async function readStatus(url: string): Promise<number> {
     try {
         return (await fetch(`${url}/ready`)).status;
--- a/packages/bench/src/overhead.ts
+++ b/packages/bench/src/overhead.ts
@@ -1,4 +1,4 @@
-import { buildWorkload, findSaturation, type LoadResult, runLoad } from "@kumquathall/load";
+import { findSaturation, type LoadResult, runLoadInWorkers } from "@kumquathall/load";
 import { DEMO_KEYS } from "@kumquathall/local-cluster";
 import { createHash } from "node:crypto";
 import { startBenchSystem } from "./benchProcesses.js";
@@ -12,6 +12,7 @@
 const LOAD_MS = 5000;
 const CONCURRENCY = 64;
 const SEEDS = [1, 2, 3];
+const LOAD_WORKERS = 3;
 
 registerBench({
     name: "overhead",
@@ -58,6 +59,8 @@
                 durationMs: SATURATION_MS,
             });
             print(`saturation: direct ${direct.toFixed(0)}/s, through entry and agent ${through.toFixed(0)}/s`);
+            await measure(directUrl, through / 2, 0);
+            await measure(throughUrl, through / 2, 0);
             const rounds = [];
             for (const seed of SEEDS) {
                 const rate = through / 2;
@@ -90,8 +93,15 @@
 });
 
 function measure(url: string, ratePerSecond: number, seed: number): Promise<LoadResult> {
-    const requests = buildWorkload({ ratePerSecond, durationMs: LOAD_MS, seed, maxTokens: 4 });
-    return runLoad({ urls: [url], key: DEMO_KEYS.cantora, model: "m", requests, connections: 256 });
+    const workload = { ratePerSecond, durationMs: LOAD_MS, seed, maxTokens: 4 };
+    return runLoadInWorkers({
+        urls: [url],
+        key: DEMO_KEYS.cantora,
+        model: "m",
+        workload,
+        workers: LOAD_WORKERS,
+        connections: 192,
+    });
 }
 
 function buildService(): object {
--- a/packages/entry/src/accountIndex.ts
+++ b/packages/entry/src/accountIndex.ts
@@ -1,7 +1,7 @@
 import { listServices } from "@kumquathall/control-state";
 import type { AccountTerms, ConfigurationValue, ServiceDefinition } from "@kumquathall/types";
 import type { VersionedMap } from "@kumquathall/versioned-map";
-import { createHash, timingSafeEqual } from "node:crypto";
+import { hash, timingSafeEqual } from "node:crypto";
 
 /** A caller's account in one service. */
 export interface AccountMatch {
@@ -43,7 +43,7 @@
 
 /** Hexadecimal SHA-256 of a key. */
 export function computeKeyDigest(key: string): string {
-    return createHash("sha256").update(key).digest("hex");
+    return hash("sha256", key, "hex");
 }
 
 /** Compares two hexadecimal digests in constant time. */
--- a/packages/entry/src/callerRequest.ts
+++ b/packages/entry/src/callerRequest.ts
@@ -17,6 +17,8 @@
 const SERVICES_PREFIX = "/services/";
 const DEADLINE_HEADER = "kumquathall-deadline-ms";
 const MAX_HEADERS = 64;
+/** Hexadecimal characters of the request's digest in its fingerprint. */
+const FINGERPRINT_CHARACTERS = 32;
 /** Headers of a caller that reach a plain service; all others concern the connection, the caller's key, or nobody. */
 const FORWARDED_HEADERS = [
     "content-type",
@@ -159,8 +161,7 @@
         isRepeatable: terms.repeatable,
         ledgerKey,
         digest,
-        fingerprint: createHash("sha256").update(`${service.institution}/${service.service}\n${digest}`).digest("hex")
-            .slice(0, 32),
+        fingerprint: `${service.institution}/${service.service}:${digest.slice(0, FINGERPRINT_CHARACTERS)}`,
         prefixHashes: [],
         priority: account.priority,
         deadline: performance.now() + readDeadlineMs(request.headers, service),
--- a/packages/entry/src/dispatcher.ts
+++ b/packages/entry/src/dispatcher.ts
@@ -170,6 +170,7 @@
             sink: this.writer,
             hash,
             deadline: this.request.deadline,
+            onTaken: (runId, link) => exchanges.sendTaken(runId, link),
             onFirstByte: latencyMs => endpoints.recordFirstByte(endpoint, latencyMs),
         });
         this.exchange = exchange;
--- a/packages/entry/src/exchangeTable.ts
+++ b/packages/entry/src/exchangeTable.ts
@@ -2,12 +2,29 @@
 import type { AgentToEntry } from "@kumquathall/types";
 import type { RunExchange } from "./runExchange.js";
 
+const ACKNOWLEDGE_MS = 10;
+
 /** Attempts that wait for messages of agents, by the id of the run. */
 export class ExchangeTable {
     private readonly exchanges = new Map<string, RunExchange>();
     /** Messages for no attempt of this entry: late, doubled or foreign. */
     foreignCount = 0;
 
+    private readonly taken = new Map<Link, string[]>();
+    private timer: NodeJS.Timeout | undefined;
+
+    /** Tells an agent soon that it need not hold an answer any longer; many runs share one message. */
+    sendTaken(runId: string, link: Link): void {
+        const known = this.taken.get(link);
+        if (known === undefined) {
+            this.taken.set(link, [runId]);
+        }
+        else {
+            known.push(runId);
+        }
+        this.timer ??= setTimeout(() => this.flushTaken(), ACKNOWLEDGE_MS);
+    }
+
     add(exchange: RunExchange): void {
         this.exchanges.set(exchange.runId, exchange);
     }
@@ -25,6 +42,14 @@
         exchange.handleMessage(message, link);
     }
 
+    private flushTaken(): void {
+        this.timer = undefined;
+        for (const [link, requestIds] of this.taken) {
+            link.cast({ kind: "runTaken", requestIds });
+        }
+        this.taken.clear();
+    }
+
     handleLinkClosed(link: Link): void {
         for (const exchange of this.exchanges.values()) {
             exchange.handleLinkClosed(link);
--- a/packages/entry/src/explainStore.ts
+++ b/packages/entry/src/explainStore.ts
@@ -27,12 +27,12 @@
 
 const MAX_RECORDS = 20_000;
 
-/** The newest requests of this entry, oldest dropped first. */
+/** The newest requests of this entry, oldest dropped first. Records are kept as text: thousands of objects would burden the garbage collector. */
 export class ExplainStore {
-    private readonly records = new Map<string, RequestRecord>();
+    private readonly records = new Map<string, string>();
 
     add(record: RequestRecord): void {
-        this.records.set(record.requestId, record);
+        this.records.set(record.requestId, JSON.stringify(record));
         if (this.records.size > MAX_RECORDS) {
             const oldest = this.records.keys().next().value;
             if (oldest !== undefined) {
@@ -42,6 +42,7 @@
     }
 
     find(requestId: string): RequestRecord | undefined {
-        return this.records.get(requestId);
+        const text = this.records.get(requestId);
+        return text === undefined ? undefined : JSON.parse(text) as RequestRecord;
     }
 }
--- a/packages/entry/src/runExchange.ts
+++ b/packages/entry/src/runExchange.ts
@@ -29,6 +29,8 @@
     /** Monotonic time at which the caller no longer waits. */
     deadline: number;
     onFirstByte: (latencyMs: number) => void;
+    /** The answer is here whole, or refused: the agent need not hold it any longer. */
+    onTaken: (runId: string, link: Link) => void;
 }
 
 /** How long an attempt waits for its agent to connect again, in milliseconds. */
@@ -47,7 +49,7 @@
     private nextSequence = 0;
     private isStarted = false;
     private pendingCredit = 0;
-    private readonly digest: XXHash<bigint>;
+    private digest: XXHash<bigint> | undefined;
     private settle: ((end: ExchangeEnd) => void) | undefined;
     private reattachTimer: NodeJS.Timeout | undefined;
     private deadlineTimer: NodeJS.Timeout | undefined;
@@ -58,7 +60,6 @@
         this.vm = options.vm;
         this.incarnation = options.incarnation;
         this.link = options.link;
-        this.digest = options.hash.create64();
     }
 
     /** Runs the attempt; never rejects. */
@@ -158,6 +159,7 @@
             return;
         }
         this.nextSequence++;
+        this.digest ??= this.options.hash.create64();
         this.digest.update(data);
         this.pendingCredit += data.length;
         if (this.options.sink.write(data)) {
@@ -176,13 +178,17 @@
     }
 
     private handleEnd(chunks: number, digest: string): void {
-        if (chunks !== this.nextSequence || digest !== this.digest.digest().toString(16)) {
+        if (chunks !== this.nextSequence || digest !== this.formatDigest()) {
             this.fail(ProblemCode.AnswerBroken, "the answer does not match its count and digest");
             return;
         }
         this.finish({ kind: "complete" });
     }
 
+    private formatDigest(): string {
+        return (this.digest ?? this.options.hash.create64()).digest().toString(16);
+    }
+
     private handleWhole(message: Extract<AgentToEntry, { kind: "runWhole" }>): void {
         if (this.options.hash.h64Raw(message.data).toString(16) !== message.digest) {
             this.fail(ProblemCode.AnswerBroken, "the answer does not match its digest");
@@ -203,6 +209,9 @@
     }
 
     private finish(end: ExchangeEnd): void {
+        if (this.link !== undefined && this.settle !== undefined && end.kind !== "broken") {
+            this.options.onTaken(this.runId, this.link);
+        }
         clearTimeout(this.reattachTimer);
         clearTimeout(this.deadlineTimer);
         this.settle?.(end);
--- a/packages/load/src/latency.ts
+++ b/packages/load/src/latency.ts
@@ -1,4 +1,4 @@
-import { build, type Histogram } from "hdr-histogram-js";
+import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram } from "hdr-histogram-js";
 
 /** Percentiles in milliseconds. */
 export interface LatencySummary {
@@ -23,6 +23,16 @@
         this.histogram.recordValue(Math.max(1, Math.round(durationMs * MICROSECONDS)));
     }
 
+    /** The whole histogram as text, for another process. */
+    encode(): string {
+        return encodeIntoCompressedBase64(this.histogram);
+    }
+
+    /** Adds what another recorder has collected. */
+    addEncoded(text: string): void {
+        this.histogram.add(decodeFromCompressedBase64(text, 64, false));
+    }
+
     describe(): LatencySummary {
         const read = (percentile: number) =>
             this.histogram.totalCount === 0 ? 0 : this.histogram.getValueAtPercentile(percentile) / MICROSECONDS;
--- a/packages/load/src/runLoad.ts
+++ b/packages/load/src/runLoad.ts
@@ -32,6 +32,8 @@
     /** Completed requests in each second of the run. */
     completedPerSecond: number[];
     ratePerSecond: number;
+    /** The histograms behind the summaries, for merging. */
+    histograms: { firstToken: string; betweenTokens: string; total: string };
 }
 
 export type { LatencySummary };
@@ -50,11 +52,16 @@
 
 /** Sends requests at their planned times whatever happens to earlier ones, and checks every answer. */
 export async function runLoad(options: LoadOptions): Promise<LoadResult> {
-    const pools = options.urls.map(url =>
-        new Pool(url, { connections: options.connections ?? DEFAULT_CONNECTIONS, pipelining: 1 })
-    );
+    const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    const limits = {
+        connections: options.connections ?? DEFAULT_CONNECTIONS,
+        pipelining: 1,
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+    };
+    const pools = options.urls.map(url => new Pool(url, limits));
     const state = createState();
-    await Promise.all(sendAll(options, pools, state));
+    await sendAll(options, pools, state);
     await Promise.all(pools.map(pool => pool.destroy()));
     const elapsedMs = performance.now() - state.startedAt;
     return {
@@ -66,6 +73,11 @@
         betweenTokens: state.betweenTokens.describe(),
         total: state.total.describe(),
         ratePerSecond: state.result.complete / elapsedMs * 1000,
+        histograms: {
+            firstToken: state.firstToken.encode(),
+            betweenTokens: state.betweenTokens.encode(),
+            total: state.total.encode(),
+        },
     };
 }
 
@@ -85,6 +97,7 @@
             total: empty,
             completedPerSecond: [],
             ratePerSecond: 0,
+            histograms: { firstToken: "", betweenTokens: "", total: "" },
         },
         codes: new Map(),
         firstToken: new LatencyRecorder(),
@@ -94,29 +107,34 @@
     };
 }
 
-function sendAll(options: LoadOptions, pools: Pool[], state: RunState): Promise<void>[] {
-    return options.requests.map(async (request, at) => {
-        const waitMs = request.atMs - (performance.now() - state.startedAt);
-        if (waitMs > 0) {
-            await new Promise(resolve => setTimeout(resolve, waitMs));
-        }
-        state.result.sent++;
-        try {
-            await sendOne(options, pools[at % pools.length], request, state);
-        }
-        catch {
-            state.result.lost++;
+/** Starts each request at its planned time; resolves when all have ended. */
+async function sendAll(options: LoadOptions, pools: Pool[], state: RunState): Promise<void> {
+    const running: Promise<void>[] = [];
+    let next = 0;
+    while (next < options.requests.length) {
+        const now = performance.now() - state.startedAt;
+        while (next < options.requests.length && options.requests[next].atMs <= now) {
+            running.push(sendCounted(options, pools[next % pools.length], options.requests[next], state));
+            next++;
         }
-    });
+        await new Promise(resolve => setTimeout(resolve, 1));
+    }
+    await Promise.all(running);
+}
+
+async function sendCounted(options: LoadOptions, pool: Pool, request: PlannedRequest, state: RunState): Promise<void> {
+    state.result.sent++;
+    try {
+        await sendOne(options, pool, request, state);
+    }
+    catch {
+        state.result.lost++;
+    }
 }
 
 async function sendOne(options: LoadOptions, pool: Pool, request: PlannedRequest, state: RunState): Promise<void> {
     const plannedAt = state.startedAt + request.atMs;
-    const response = await pool.request({
-        method: "POST",
-        ...describeRequest(options, request),
-        signal: AbortSignal.timeout(options.timeoutMs ?? DEFAULT_TIMEOUT_MS),
-    });
+    const response = await pool.request({ method: "POST", ...describeRequest(options, request) });
     const parts: Buffer[] = [];
     let lastAt: number | undefined;
     for await (const part of response.body as AsyncIterable<Buffer>) {
--- a/packages/local-cluster/src/processCluster.ts
+++ b/packages/local-cluster/src/processCluster.ts
@@ -10,6 +10,8 @@
     plan: ClusterPlan;
     /** Folder for settings files and logs. */
     folder: string;
+    /** Arguments for Node.js itself, for example `--cpu-prof`. */
+    nodeArguments?: string[];
 }
 
 /** A plan run as one kumquathalld process for each of its settings. For demonstrations and measurements on one machine. */
@@ -32,7 +34,9 @@
         writeFileSync(file, JSON.stringify(settings, undefined, 4));
         const log = openSync(join(this.options.folder, `${settings.id}.log`), "a");
         const main = createRequire(import.meta.url).resolve("@kumquathall/daemon").replace(/index\.js$/, "main.js");
-        const child = spawn(process.execPath, [main, "--settings", file], { stdio: ["ignore", log, log] });
+        const child = spawn(process.execPath, [...this.options.nodeArguments ?? [], main, "--settings", file], {
+            stdio: ["ignore", log, log],
+        });
         this.children.set(settings.id, child);
     }
 
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -134,6 +134,8 @@
     | RunMessage
     | { kind: "runCredit"; requestId: string; bytes: number }
     | { kind: "runCancel"; requestId: string }
+    /** The answers of these runs arrived whole: they need not be held any longer. */
+    | { kind: "runTaken"; requestIds: string[] }
     /** Takes over the answer of a running request from this chunk number on, over a new connection. */
     | { kind: "runAttach"; requestId: string; fromSequence: number; credit: number };
 
