--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,8 @@
 /** Entry point of `npm run bench -- NAME`. The last line is JSON. */
 import { listBenches } from "@kumquathall/bench";
+import "./ledger.js";
 import "./overhead.js";
+import "./slopes.js";
 
 const name = process.argv[2];
 const bench = listBenches().find(item => item.name === name);
--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -34,7 +34,8 @@
 export interface StateMachine<Payload, Result> {
     /** Applies one committed command and returns its result. */
     apply(command: Payload, index: number, term: number): Result;
-    saveSnapshot(): Uint8Array;
+    /** Encodes the state as it is at the call, without blocking for long. */
+    saveSnapshot(): Promise<Uint8Array>;
     loadSnapshot(data: Uint8Array): void;
 }
 
@@ -66,6 +67,9 @@
     reject: (error: Error) => void;
 }
 
+/** An effect that waits for the disk, or the start of a log segment behind a snapshot of this member's own. */
+type OutboxItem<Payload> = ConsensusEffect<Payload> | { kind: "startSegment"; snapshot: Snapshot };
+
 interface PendingProposal<Payload, Result> {
     command: Payload;
     resolve: (result: Result) => void;
@@ -80,7 +84,8 @@
     private readonly waiters = new Map<number, Waiter<Result>>();
     private proposals: PendingProposal<Payload, Result>[] = [];
     private isProposalScheduled = false;
-    private outbox: ConsensusEffect<Payload>[] = [];
+    private outbox: OutboxItem<Payload>[] = [];
+    private isSnapshotting = false;
     private isWriting = false;
     private isClosed = false;
     private lastSnapshot: Snapshot | undefined;
@@ -224,10 +229,7 @@
                 this.deliver(effect);
             }
         }
-        if (this.outbox.length > 0 && !this.isWriting) {
-            this.isWriting = true;
-            setImmediate(() => void this.writeOutbox());
-        }
+        this.scheduleWrite();
     }
 
     /** Answers that confirm or promise something wait behind writes that are already queued. */
@@ -262,15 +264,12 @@
             }
         }
         catch (error) {
-            this.options.logger.error("storage-failed", { message: String(error) });
-            this.isClosed = true;
-            clearInterval(this.timer);
-            this.options.onFatal(error);
+            this.fail(error);
         }
         this.isWriting = false;
     }
 
-    private async writeBatch(batch: ConsensusEffect<Payload>[]): Promise<void> {
+    private async writeBatch(batch: OutboxItem<Payload>[]): Promise<void> {
         let hardState: HardState | undefined;
         let entries: LogEntry<Payload>[] = [];
         for (const effect of batch) {
@@ -285,7 +284,11 @@
         await this.options.store.append(hardState, entries);
         for (const effect of batch) {
             if (effect.kind === "installSnapshot") {
-                await this.storeSnapshot(effect.snapshot);
+                await this.options.store.writeSnapshot(effect.snapshot);
+                await this.startSegment(effect.snapshot);
+            }
+            else if (effect.kind === "startSegment") {
+                await this.startSegment(effect.snapshot);
             }
             else {
                 this.deliver(effect);
@@ -297,10 +300,12 @@
         }
     }
 
-    private async storeSnapshot(snapshot: Snapshot): Promise<void> {
-        this.lastSnapshot = snapshot;
+    private async startSegment(snapshot: Snapshot): Promise<void> {
+        if ((this.lastSnapshot?.index ?? 0) <= snapshot.index) {
+            this.lastSnapshot = snapshot;
+        }
         const remaining = getEntries(this.state, snapshot.index + 1, getLastIndex(this.state));
-        await this.options.store.saveSnapshot(snapshot, this.state.hardState, remaining);
+        await this.options.store.startSegment(snapshot.index, this.state.hardState, remaining);
     }
 
     private applyCommitted(): void {
@@ -353,26 +358,40 @@
     private takeSnapshotIfDue(): void {
         const every = this.options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
         const covered = this.lastSnapshot?.index ?? 0;
-        if (
-            this.appliedIndex - covered < every
-            || this.isWriting && this.outbox.some(effect => effect.kind === "installSnapshot")
-        ) {
+        if (this.isSnapshotting || this.appliedIndex - covered < every) {
+            return;
+        }
+        this.isSnapshotting = true;
+        void this.takeSnapshot().catch(error => this.fail(error));
+    }
+
+    /** Encodes and writes a snapshot beside the log, then starts a log segment behind it. */
+    private async takeSnapshot(): Promise<void> {
+        const index = this.appliedIndex;
+        const term = getTermAt(this.state, index) ?? 0;
+        const members = [...getMembers(this.state)];
+        const data = await this.options.machine.saveSnapshot();
+        const snapshot: Snapshot = { index, term, members, data };
+        await this.options.store.writeSnapshot(snapshot);
+        this.isSnapshotting = false;
+        if (this.isClosed || (this.lastSnapshot?.index ?? 0) >= index) {
             return;
         }
-        const term = getTermAt(this.state, this.appliedIndex) ?? 0;
-        const snapshot: Snapshot = {
-            index: this.appliedIndex,
-            term,
-            members: [...getMembers(this.state)],
-            data: this.options.machine.saveSnapshot(),
-        };
-        this.outbox.push({ kind: "installSnapshot", snapshot });
         this.lastSnapshot = snapshot;
-        this.state = stepConsensus(this.state, {
-            kind: "compacted",
-            index: Math.max(this.state.snapshotIndex, this.appliedIndex - KEPT_ENTRIES),
-        }, this.timing).state;
-        if (!this.isWriting) {
+        this.outbox.push({ kind: "startSegment", snapshot });
+        this.handle({ kind: "compacted", index: Math.max(this.state.snapshotIndex, index - KEPT_ENTRIES) });
+        this.scheduleWrite();
+    }
+
+    private fail(error: unknown): void {
+        this.options.logger.error("storage-failed", { message: String(error) });
+        this.isClosed = true;
+        clearInterval(this.timer);
+        this.options.onFatal(error);
+    }
+
+    private scheduleWrite(): void {
+        if (this.outbox.length > 0 && !this.isWriting) {
             this.isWriting = true;
             setImmediate(() => void this.writeOutbox());
         }
--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -22,5 +22,5 @@
     listVms,
 } from "./lookup.js";
 export { buildStatusMeasures, type InstitutionMeasure } from "./measures.js";
-export { decodeState, encodeState } from "./snapshot.js";
+export { decodeState, encodeState, encodeStateInSlices } from "./snapshot.js";
 export { type ControlState, createControlState, type LedgerEntry, type MeasureState } from "./state.js";
--- a/packages/control-state/src/snapshot.ts
+++ b/packages/control-state/src/snapshot.ts
@@ -4,56 +4,115 @@
 import { List, Map as ImmutableMap } from "immutable";
 import type { ControlState, LedgerEntry } from "./state.js";
 
+/** A part of an encoded state: the small values once, and the items of each collection in slices. */
+type StatePart =
+    | { kind: "scalars"; revision: number; safePoint: number; ledgerTimeMs: number; lastAt: number }
+    | { kind: "configuration"; items: [string, VersionedEntry<ConfigurationValue>][] }
+    | { kind: "ledger"; items: [string, LedgerEntry][] }
+    | { kind: "changes"; items: [string, CommandResult][] }
+    | { kind: "audit"; items: AuditRecord[] }
+    | { kind: "groupDowntimeMs"; items: [string, number][] }
+    | { kind: "strandedAcceleratorMs"; items: [string, number][] };
+
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false, structuredClone: false });
+/** Items encoded at a time: a fraction of a millisecond of work. */
+const SLICE_ITEMS = 250;
+const LENGTH_BYTES = 4;
 
-/** The state as plain data. */
-interface EncodedState {
-    revision: number;
-    safePoint: number;
-    configuration: [string, VersionedEntry<ConfigurationValue>][];
-    ledger: [string, LedgerEntry][];
-    ledgerTimeMs: number;
-    changes: [string, CommandResult][];
-    audit: AuditRecord[];
-    lastAt: number;
-    groupDowntimeMs: [string, number][];
-    strandedAcceleratorMs: [string, number][];
+/** Encodes the whole state at once. */
+export function encodeState(state: ControlState): Uint8Array {
+    return Buffer.concat([...listEncodedParts(state)]);
 }
 
-/** Encodes the whole state for a snapshot. */
-export function encodeState(state: ControlState): Uint8Array {
-    const encoded: EncodedState = {
-        revision: state.configuration.revision,
-        safePoint: state.configuration.safePoint,
-        configuration: [...state.configuration.entries],
-        ledger: [...state.ledger],
-        ledgerTimeMs: state.ledgerTimeMs,
-        changes: [...state.changes],
-        audit: state.audit.toArray(),
-        lastAt: state.measures.lastAt,
-        groupDowntimeMs: [...state.measures.groupDowntimeMs],
-        strandedAcceleratorMs: [...state.measures.strandedAcceleratorMs],
-    };
-    return Uint8Array.from(codec.encode(encoded));
+/**
+ * Encodes the state in slices and lets other work run in between, since a member that is busy for longer than an election
+ * timeout loses its lead. The state never changes in place, so the result is that of the moment of the call.
+ */
+export async function encodeStateInSlices(state: ControlState): Promise<Uint8Array> {
+    const parts: Buffer[] = [];
+    for (const part of listEncodedParts(state)) {
+        parts.push(part);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    return Buffer.concat(parts);
 }
 
-/** Decodes a state written by {@link encodeState}. */
+/** Decodes a state written by {@link encodeState} or {@link encodeStateInSlices}. */
 export function decodeState(data: Uint8Array): ControlState {
-    const encoded = codec.decode(data) as EncodedState;
+    const parts = [...listDecodedParts(Buffer.from(data.buffer, data.byteOffset, data.byteLength))];
+    const collect = <Item>(kind: StatePart["kind"]) =>
+        parts.flatMap(part => part.kind === kind && "items" in part ? part.items as Item[] : []);
+    const scalars = parts.find(part => part.kind === "scalars");
     return {
         configuration: {
-            revision: encoded.revision,
-            safePoint: encoded.safePoint,
-            entries: ImmutableMap(encoded.configuration),
+            revision: scalars?.revision ?? 0,
+            safePoint: scalars?.safePoint ?? 0,
+            entries: ImmutableMap(collect<[string, VersionedEntry<ConfigurationValue>]>("configuration")),
         },
-        ledger: ImmutableMap(encoded.ledger),
-        ledgerTimeMs: encoded.ledgerTimeMs,
-        changes: ImmutableMap(encoded.changes),
-        audit: List(encoded.audit),
+        ledger: ImmutableMap(collect<[string, LedgerEntry]>("ledger")),
+        ledgerTimeMs: scalars?.ledgerTimeMs ?? 0,
+        changes: ImmutableMap(collect<[string, CommandResult]>("changes")),
+        audit: List(collect<AuditRecord>("audit")),
         measures: {
-            lastAt: encoded.lastAt,
-            groupDowntimeMs: ImmutableMap(encoded.groupDowntimeMs),
-            strandedAcceleratorMs: ImmutableMap(encoded.strandedAcceleratorMs),
+            lastAt: scalars?.lastAt ?? 0,
+            groupDowntimeMs: ImmutableMap(collect<[string, number]>("groupDowntimeMs")),
+            strandedAcceleratorMs: ImmutableMap(collect<[string, number]>("strandedAcceleratorMs")),
         },
     };
 }
+
+function* listEncodedParts(state: ControlState): Generator<Buffer> {
+    const { configuration, measures } = state;
+    yield encodePart({
+        kind: "scalars",
+        revision: configuration.revision,
+        safePoint: configuration.safePoint,
+        ledgerTimeMs: state.ledgerTimeMs,
+        lastAt: measures.lastAt,
+    });
+    for (const items of listSlices(configuration.entries)) {
+        yield encodePart({ kind: "configuration", items });
+    }
+    for (const items of listSlices(state.ledger)) {
+        yield encodePart({ kind: "ledger", items });
+    }
+    for (const items of listSlices(state.changes)) {
+        yield encodePart({ kind: "changes", items });
+    }
+    for (const items of listSlices(state.audit)) {
+        yield encodePart({ kind: "audit", items });
+    }
+    yield encodePart({ kind: "groupDowntimeMs", items: [...measures.groupDowntimeMs] });
+    yield encodePart({ kind: "strandedAcceleratorMs", items: [...measures.strandedAcceleratorMs] });
+}
+
+function* listSlices<Item>(items: Iterable<Item>): Generator<Item[]> {
+    let slice: Item[] = [];
+    for (const item of items) {
+        slice.push(item);
+        if (slice.length === SLICE_ITEMS) {
+            yield slice;
+            slice = [];
+        }
+    }
+    if (slice.length > 0) {
+        yield slice;
+    }
+}
+
+function encodePart(part: StatePart): Buffer {
+    const body = codec.encode(part);
+    const framed = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+    framed.writeUInt32BE(body.length, 0);
+    body.copy(framed, LENGTH_BYTES);
+    return framed;
+}
+
+function* listDecodedParts(data: Buffer): Generator<StatePart> {
+    let offset = 0;
+    while (offset < data.length) {
+        const end = offset + LENGTH_BYTES + data.readUInt32BE(offset);
+        yield codec.decode(data.subarray(offset + LENGTH_BYTES, end)) as StatePart;
+        offset = end;
+    }
+}
--- a/packages/control/src/controlMachine.ts
+++ b/packages/control/src/controlMachine.ts
@@ -4,7 +4,7 @@
     type ControlState,
     createControlState,
     decodeState,
-    encodeState,
+    encodeStateInSlices,
 } from "@kumquathall/control-state";
 import type { Command, CommandResult } from "@kumquathall/types";
 
@@ -22,8 +22,8 @@
         return applied.result;
     }
 
-    saveSnapshot(): Uint8Array {
-        return encodeState(this.state);
+    saveSnapshot(): Promise<Uint8Array> {
+        return encodeStateInSlices(this.state);
     }
 
     loadSnapshot(data: Uint8Array): void {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry role. Importing this package registers it with the kernel. */
 export { AccountIndex } from "./accountIndex.js";
+export { AgentUpdateBuilder } from "./agentUpdate.js";
 export { EntryPlugin, type EntrySettings } from "./entryPlugin.js";
 export { PROBLEM_STATUS } from "./problemAnswer.js";
 export { findIdempotencyKey, findRequestTerms } from "./requestTerms.js";
--- a/packages/storage/src/logStore.ts
+++ b/packages/storage/src/logStore.ts
@@ -55,22 +55,31 @@
         await this.writeBlock(records);
     }
 
-    /** Stores a snapshot, starts a segment with what remains of the log, and removes what the snapshot replaces. */
-    async saveSnapshot(snapshot: Snapshot, hardState: HardState, remaining: LogEntry<Payload>[]): Promise<void> {
+    /** Writes a snapshot file and syncs it. Entries may be appended meanwhile. */
+    async writeSnapshot(snapshot: Snapshot): Promise<void> {
         try {
             await this.disk.replace(formatName("snapshot", snapshot.index), encodeBlock([snapshot]));
+        }
+        catch (error) {
+            throw new StorageError(`snapshot not stored: ${describeError(error)}`, error);
+        }
+    }
+
+    /** Starts a segment with what remains of the log behind a stored snapshot, and removes what the snapshot replaces. */
+    async startSegment(snapshotIndex: number, hardState: HardState, remaining: LogEntry<Payload>[]): Promise<void> {
+        try {
             const previous = this.segment;
             this.segmentNumber++;
             this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
             const entries = remaining.map(entry => ({ kind: "entry" as const, entry }));
             await this.writeBlock([{ kind: "hardState", hardState }, ...entries]);
             await previous?.close();
-            await this.removeObsolete(snapshot.index);
+            await this.removeObsolete(snapshotIndex);
         }
         catch (error) {
             throw error instanceof StorageError
                 ? error
-                : new StorageError(`snapshot not stored: ${describeError(error)}`, error);
+                : new StorageError(`log segment not started: ${describeError(error)}`, error);
         }
     }
 
