--- a/packages/entry/src/callerRequest.ts
+++ b/packages/entry/src/callerRequest.ts
@@ -130,13 +130,18 @@
         throw new RefusalError(ProblemCode.UnknownService, `this account has no service "${name}"`);
     }
     const target = slash < 0 ? "/" : rest.slice(slash);
-    if (target.split(/[/?#]/).includes("..")) {
+    if (hasParentSegment(target)) {
         throw new RefusalError(ProblemCode.BadRequest, 'the path may not contain ".."');
     }
     const admitted = buildRequest(requestId, request, body, match, target, selectHeaders(request.headers));
     return { account: match.account, request: admitted };
 }
 
+/** Whether a path has a `..` segment, written out or percent-encoded. */
+function hasParentSegment(target: string): boolean {
+    return target.split(/[/?#\\]|%2f|%5c/i).some(segment => segment.replaceAll(/%2e/gi, ".") === "..");
+}
+
 function buildRequest(
     requestId: string,
     request: IncomingMessage,
