--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** Entry point of `npm run bench -- NAME`. The last line is JSON. */
 import { listBenches } from "@kumquathall/bench";
+import "./groups.js";
 import "./ledger.js";
 import "./overhead.js";
 import "./slopes.js";
--- a/packages/planner/src/objective.ts
+++ b/packages/planner/src/objective.ts
@@ -18,14 +18,17 @@
 /** Cost of loading one cold VM relative to leaving one VM of a domain without partners. */
 const COLD_LOAD_COST = 10;
 
-/** Keeps spares and prefers members that hold the weights already: the shortest time to serve again. */
+/**
+ * Keeps spares, prefers members that hold the weights already, and lets what is left over serve as standing reserve:
+ * a group above the declared capacity takes over at once, where a spare has to load first.
+ */
 export class DowntimeObjective extends Objective {
     override countSpares(service: ServiceDefinition): number {
         return Math.max(1, Math.round(service.replicaGroup.vms / 16));
     }
 
     override canUseSurplus(): boolean {
-        return false;
+        return true;
     }
 
     override computeCost(
--- a/packages/planner/src/planGroups.ts
+++ b/packages/planner/src/planGroups.ts
@@ -49,6 +49,8 @@
     private readonly vms = new Map<string, VmRecord>();
     private readonly domains = new Map<string, DomainPool>();
     private loadingLeft: number;
+    /** Some service lacks a declared group and found no VMs for it. */
+    private isAnyUnmet = false;
 
     constructor(private readonly input: PlannerInput) {
         const { configuration } = input;
@@ -72,6 +74,7 @@
         for (const service of this.listByNeed()) {
             this.planService(service);
         }
+        this.drainSurplus();
         for (const service of this.services) {
             if (this.getObjective(service).canUseSurplus(service)) {
                 this.planSurplus(service);
@@ -124,6 +127,9 @@
             missing--;
         }
         const serving = staying.filter(group => group.state === GroupState.Serving).length;
+        if (missing > 0 && this.loadingLeft > 0) {
+            this.isAnyUnmet = true;
+        }
         this.drainLeaving(service, leaving, serving, missing);
         this.drainExcess(service, staying);
     }
@@ -159,6 +165,21 @@
         }
     }
 
+    /** A service that finds no VMs takes them back from a group above another's declared capacity, one group at a time. */
+    private drainSurplus(): void {
+        const isOneOnItsWay = this.groups.some(group => group.state === GroupState.Draining);
+        if (!this.isAnyUnmet || isOneOnItsWay) {
+            return;
+        }
+        for (const service of this.services) {
+            const serving = this.listActive(service).filter(group => group.state === GroupState.Serving);
+            if (serving.length > service.capacity.groups) {
+                this.drainGroup(serving[serving.length - 1], "another service lacks a declared group");
+                return;
+            }
+        }
+    }
+
     private planSurplus(service: ServiceDefinition): void {
         const isWaiting = this.services.some(other =>
             this.listActive(other).length < other.capacity.groups && other.service !== service.service
