--- a/packages/bench/src/idleUsage.ts
+++ b/packages/bench/src/idleUsage.ts
@@ -1,6 +1,6 @@
-import { DEMO_ENDPOINTS, DEMO_KEYS } from "@kumquathall/local-cluster";
-import { createHash } from "node:crypto";
+import { DEMO_ENDPOINTS } from "@kumquathall/local-cluster";
 import { startBenchSystem } from "./benchProcesses.js";
+import { buildBenchService } from "./benchService.js";
 import { readUsage } from "./processUsage.js";
 import { computeMedian } from "./statistics.js";
 
@@ -23,7 +23,9 @@
         entries: 2,
         controlMembers: 3,
         engine: { stepMs: 10, loadMs: 0 },
-        services: { idle: buildService() },
+        services: {
+            idle: buildBenchService({ groups: 2, vmsPerGroup: 2, concurrentRequests: 100, requestsPerSecond: 100 }),
+        },
         groups: 2,
     });
     try {
@@ -51,16 +53,3 @@
         await system.close();
     }
 }
-
-function buildService(): object {
-    return {
-        institution: "cantora",
-        service: "idle",
-        version: 1,
-        kind: "model",
-        models: [{ name: "m", version: "1" }],
-        replicaGroup: { vms: 2, acceleratorsPerVm: 2 },
-        capacity: { groups: 2, concurrentRequests: 100, requestsPerSecond: 100 },
-        accounts: [{ name: "idle", keyDigest: createHash("sha256").update(DEMO_KEYS.cantora).digest("hex") }],
-    };
-}
--- a/packages/bench/src/overhead.ts
+++ b/packages/bench/src/overhead.ts
@@ -1,7 +1,7 @@
 import { findSaturation, type LoadResult, runLoadInWorkers } from "@kumquathall/load";
 import { DEMO_KEYS } from "@kumquathall/local-cluster";
-import { createHash } from "node:crypto";
 import { startBenchSystem } from "./benchProcesses.js";
+import { buildBenchService } from "./benchService.js";
 import { registerBench } from "./registry.js";
 import { computeMedian } from "./statistics.js";
 
@@ -31,7 +31,14 @@
             entries: 1,
             controlMembers: 3,
             engine: { stepMs: 0, loadMs: 0 },
-            services: { bench: buildService() },
+            services: {
+                bench: buildBenchService({
+                    groups: 1,
+                    vmsPerGroup: 1,
+                    concurrentRequests: 2000,
+                    requestsPerSecond: 100_000,
+                }),
+            },
             groups: 1,
         });
         try {
@@ -103,16 +110,3 @@
         connections: 192,
     });
 }
-
-function buildService(): object {
-    return {
-        institution: "cantora",
-        service: "bench",
-        version: 1,
-        kind: "model",
-        models: [{ name: "m", version: "1" }],
-        replicaGroup: { vms: 1, acceleratorsPerVm: 2 },
-        capacity: { groups: 1, concurrentRequests: 2000, requestsPerSecond: 100000 },
-        accounts: [{ name: "bench", keyDigest: createHash("sha256").update(DEMO_KEYS.cantora).digest("hex") }],
-    };
-}
--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -1,5 +1,6 @@
 /** The replicated state of the control group as pure functions. */
-export { applyCommand, type ApplyOptions, type ApplyResult } from "./applyCommand.js";
+export { applyCommand } from "./applyCommand.js";
+export type { ApplyOptions, ApplyResult } from "./applyResult.js";
 export { auditChange } from "./audit.js";
 export { isConfigurationCommand } from "./commandKind.js";
 export { compareFencing, formatFencing, isSameFencing } from "./fencing.js";
--- a/packages/planner/src/objective.ts
+++ b/packages/planner/src/objective.ts
@@ -37,7 +37,7 @@
         freeInDomain: number,
         warmth: string,
     ): number {
-        const coldMembers = members.filter(vm => vm.warmFor !== warmth).length;
+        const coldMembers = countCold(members, warmth);
         // A domain with VMs to spare can repair the group again after a second loss.
         const sparesLeft = Math.min(freeInDomain - members.length, service.replicaGroup.vms);
         return coldMembers * COLD_LOAD_COST - sparesLeft;
@@ -60,12 +60,16 @@
         freeInDomain: number,
         warmth: string,
     ): number {
-        const coldMembers = members.filter(vm => vm.warmFor !== warmth).length;
+        const coldMembers = countCold(members, warmth);
         const leftover = (freeInDomain - members.length) % service.replicaGroup.vms;
         return leftover * COLD_LOAD_COST + coldMembers;
     }
 }
 
+function countCold(members: VmRecord[], warmth: string): number {
+    return members.filter(vm => vm.warmFor !== warmth).length;
+}
+
 /** Chooses the objective that the service's weights favour. */
 export function selectObjective(service: ServiceDefinition): Objective {
     const { groupDowntime, strandedAccelerators } = service.objective;
