--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -9,15 +9,14 @@
 import { Distributor } from "./distributor.js";
 import { LeaderTask } from "./leaderTask.js";
 import { registerControlMetrics } from "./metrics.js";
+import { listSnapshotParts, type SnapshotPart, SnapshotReceiver } from "./snapshotTransfer.js";
 import { buildStatus } from "./status.js";
 import { computeVouch } from "./vouch.js";
 
-/** A consensus message between two members. */
-interface MemberCast {
-    kind: "consensus";
-    from: string;
-    message: ConsensusMessage<Command>;
-}
+/** A consensus message between two members, or one part of a snapshot. */
+type MemberCast =
+    | { kind: "consensus"; from: string; message: ConsensusMessage<Command> }
+    | { kind: "snapshotPart"; from: string; part: SnapshotPart };
 
 /** One member of the control group. */
 export class ControlRole implements RunningRole {
@@ -25,6 +24,8 @@
     private readonly distributor: Distributor;
     private readonly identity: PeerIdentity;
     private readonly dialers = new Map<string, LinkDialer>();
+    /** Snapshots that are arriving, by sender. */
+    private readonly receivers = new Map<string, SnapshotReceiver>();
     private listener: LinkListener | undefined;
     private runtime!: ConsensusRuntime<Command, CommandResult>;
     private leaderTask!: LeaderTask;
@@ -79,10 +80,7 @@
             store,
             recovered,
             machine: this.machine,
-            transport: {
-                send: (to, message) =>
-                    this.dialers.get(to)?.cast({ kind: "consensus", from: context.settings.id, message }),
-            },
+            transport: { send: (to, message) => this.sendToMember(to, message) },
             logger: context.logger,
             onFatal: error => context.fail(error),
             onApplied: () => this.distributor.schedulePush(),
@@ -123,8 +121,30 @@
 
     private handleCast(cast: MemberCast, link: Link): void {
         const isMember = link.peer?.role === "control" && link.peer.controlGroup === this.identity.controlGroup;
-        if (cast.kind === "consensus" && isMember && link.peer?.id === cast.from) {
+        if (!isMember || link.peer?.id !== cast.from) {
+            return;
+        }
+        if (cast.kind === "consensus") {
             this.runtime.receive(cast.from, cast.message);
+            return;
+        }
+        const receiver = this.receivers.get(cast.from) ?? new SnapshotReceiver();
+        this.receivers.set(cast.from, receiver);
+        const whole = receiver.receive(cast.part);
+        if (whole !== undefined) {
+            this.runtime.receive(cast.from, whole);
+        }
+    }
+
+    private sendToMember(to: string, message: ConsensusMessage<Command>): void {
+        const from = this.context.settings.id;
+        const dialer = this.dialers.get(to);
+        if (message.kind !== "snapshot") {
+            dialer?.cast({ kind: "consensus", from, message });
+            return;
+        }
+        for (const part of listSnapshotParts(message)) {
+            dialer?.cast({ kind: "snapshotPart", from, part });
         }
     }
 
