--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -197,7 +197,7 @@
             this.directory = new ControlDirectory({
                 identity: this.identity,
                 seeds: founding.seeds.filter(seed => seed !== this.settings.listen),
-                handlers: {},
+                handlers: { onOpen: link => this.announceTraffic(link) },
                 logger,
             });
             this.membershipTask = new MembershipTask({
@@ -249,9 +249,16 @@
         members.forEach(member => this.dialMember(member));
     }
 
+    /** A member that has started again may lead before a gateway has found it. */
+    private announceTraffic(link: Link): void {
+        if (this.endpointTask?.hasTraffic() === true) {
+            link.cast({ kind: "trafficSeen" });
+        }
+    }
+
     private handleCast(cast: ControlCast, link: Link): void {
         if (cast.kind === "trafficSeen") {
-            this.endpointTask?.recordTraffic();
+            this.endpointTask?.recordTraffic(link.peer?.id ?? "");
             return;
         }
         if (cast.kind === "endpointFacts") {
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -108,8 +108,16 @@
     }
 
     /** An entry has seen a caller's request: loads are no longer quick. */
-    recordTraffic(): void {
-        this.isTrafficSeen = true;
+    recordTraffic(teller: string): void {
+        if (!this.isTrafficSeen) {
+            this.isTrafficSeen = true;
+            this.options.logger.info("traffic-begun", { teller });
+        }
+    }
+
+    /** Whether callers have sent requests, as far as this process was told. */
+    hasTraffic(): boolean {
+        return this.isTrafficSeen;
     }
 
     addLink(link: Link): void {
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -41,10 +41,14 @@
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly bias = new FirstEventBias();
     private readonly ages = new CallerAge();
-    private hasSeenRequest = false;
+    private isTrafficSeen = false;
 
     constructor(private readonly options: ForwarderOptions) {}
 
+    hasSeenRequest(): boolean {
+        return this.isTrafficSeen;
+    }
+
     countActive(): number {
         return this.active.size;
     }
@@ -52,8 +56,8 @@
     forward(request: IncomingMessage, response: ServerResponse): void {
         const { dialect, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
-        if (!this.hasSeenRequest) {
-            this.hasSeenRequest = true;
+        if (!this.isTrafficSeen) {
+            this.isTrafficSeen = true;
             this.options.onFirstRequest();
         }
         if (isStopping()) {
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -154,6 +154,10 @@
     }
 
     private follow(link: Link): void {
+        // A control process that has started again knows of no traffic.
+        if (this.forwarder.hasSeenRequest()) {
+            link.cast({ kind: "trafficSeen" });
+        }
         void this.reader.subscribe(link);
         link.call({ kind: "watchEndpoints" })
             .then(answer => this.takeFacts(answer as ControlAnswer))
