--- a/packages/engine-groups/src/loadBudget.ts
+++ b/packages/engine-groups/src/loadBudget.ts
@@ -20,8 +20,8 @@
         this.updatedAt = now;
     }
 
-    /** Takes one load that lasts about `durationMs`; `false` when none may start now. */
-    takeLoad(now: number, durationMs: number): boolean {
+    /** Takes one load that lasts about `durationMs`; `false` when none may start now, or fewer than `keptFree` more could. */
+    takeLoad(now: number, durationMs: number, keptFree = 0): boolean {
         const { loadsPerSecond, maxConcurrent } = this.options;
         const burst = this.options.burst ?? DEFAULT_BURST;
         this.tokens = Math.min(burst, this.tokens + (now - this.updatedAt) / 1000 * loadsPerSecond);
@@ -29,7 +29,7 @@
         while (this.running.length > 0 && this.running[0] <= now) {
             this.running.shift();
         }
-        if (this.tokens < 1 || this.running.length >= maxConcurrent) {
+        if (this.tokens < 1 || this.running.length + keptFree >= maxConcurrent) {
             return false;
         }
         this.tokens--;
--- a/packages/engine-groups/src/planOrders.feature
+++ b/packages/engine-groups/src/planOrders.feature
@@ -107,3 +107,19 @@
         And the head of a "big" group is unheard by a new leader, and a member of it is lost
         And 3000 ms pass
         Then no group opened without all its members and no member was taken from a serving group
+
+    Scenario: Losses and newcomers for a long time: no group waits for a foreign load, and no load displaces a newcomer's model
+        Given 11 engines in each of 3 domains
+        When 8000 ms pass before traffic
+        And traffic begins
+        And a member is lost every 3200 ms and a newcomer comes every 3700 ms, for 90000 ms from each of 4 seeds
+        Then no order was a waste
+        And no group opened without all its members and no member was taken from a serving group
+
+    Scenario: Newcomers get their model at once, whatever copies are made for later
+        Given 27 engines in each of 3 domains
+        When 8000 ms pass before traffic
+        And traffic begins
+        And a member of a "big" group is lost every 2500 ms, 2 times in all
+        And 2 newcomers come to the first domain
+        Then both load a model within 700 ms, which two loads take to start at 3 a second
--- a/packages/engine-groups/src/planOrders.steps.ts
+++ b/packages/engine-groups/src/planOrders.steps.ts
@@ -7,6 +7,8 @@
 let profile: EngineProfile;
 let fleet: EngineFleet;
 let breaches: string[] = [];
+let wastes: string[] = [];
+let newcomers: string[] = [];
 let ordersBefore = 0;
 let slowId = "";
 let domainCount = 0;
@@ -131,6 +133,60 @@
     },
 );
 
+/** Members of serving groups are lost, one domain after another; newcomers come to any domain. */
+function runLossesAndNewcomers(seed: number, lossEveryMs: number, newcomerEveryMs: number, lastsMs: number): void {
+    const random = createRandom(seed);
+    const domains = Array.from({ length: domainCount }, (_, at) => `d${at}`);
+    const endsAt = fleet.now + lastsMs;
+    let lossAt = fleet.now + lossEveryMs;
+    let newcomerAt = fleet.now + newcomerEveryMs;
+    let losses = 0;
+    while (fleet.now < endsAt) {
+        fleet.advance(40);
+        if (fleet.now >= lossAt) {
+            lossAt += lossEveryMs;
+            const members = fleet.listEngines(domains[losses++ % domainCount]).filter(view =>
+                !view.isLost && parseGroupName(view.engine?.group?.name ?? "")?.isStandby === false
+            );
+            fleet.drop(members[Math.floor(random() * members.length)]?.id ?? "");
+        }
+        if (fleet.now >= newcomerAt) {
+            newcomerAt += newcomerEveryMs;
+            fleet.add(domains[Math.floor(random() * domainCount)], 1);
+        }
+    }
+}
+
+When(
+    "a member is lost every {int} ms and a newcomer comes every {int} ms, for {int} ms from each of {int} seeds",
+    (lossEveryMs: number, newcomerEveryMs: number, lastsMs: number, seeds: number) => {
+        wastes = [];
+        breaches = [];
+        for (let seed = 1; seed <= seeds; seed++) {
+            fleet = createFleet();
+            fleet.advance(8000);
+            fleet.isBeforeTraffic = false;
+            runLossesAndNewcomers(seed, lossEveryMs, newcomerEveryMs, lastsMs);
+            wastes.push(...fleet.wastes.map(text => `seed ${seed}: ${text}`));
+            breaches.push(...fleet.breaches.map(text => `seed ${seed}: ${text}`));
+        }
+    },
+);
+
+Then("no order was a waste", () => deepStrictEqual(wastes, []));
+
+When("{int} newcomers come to the first domain", (count: number) => {
+    fleet.add("d0", count);
+    newcomers = fleet.listEngines("d0").slice(-count).map(view => view.id);
+});
+
+Then("both load a model within {int} ms, which two loads take to start at 3 a second", (ms: number) => {
+    const before = fleet.orders.length;
+    fleet.advance(ms);
+    const loading = fleet.orders.slice(before).filter(item => item.order.kind === "stage").map(item => item.target.id);
+    deepStrictEqual(newcomers.filter(id => !loading.includes(id)), []);
+});
+
 Then(
     "{int} groups of {string} and {int} groups of {string} serve",
     (first: number, firstModel: string, second: number, secondModel: string) => {
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -22,8 +22,8 @@
     createEpoch: () => number;
     /** Whether an order to this endpoint still waits for its effect. */
     isOrderPending: (view: EndpointView) => boolean;
-    /** Takes one load from the weight store's budget. */
-    takeLoad: (durationMs: number) => boolean;
+    /** Takes one load from the weight store's budget, if `keptFree` more could still run beside it. */
+    takeLoad: (durationMs: number, keptFree: number) => boolean;
     /** Members that a group was ordered to have, where this leader ordered it; none once its head was ordered to leave. */
     getOrderedMembers: (groupKey: string) => string[] | undefined;
     /** The head was ordered to open not long ago and may still be about to. */
@@ -47,6 +47,15 @@
 /** Factor by which the scarcest model must gain for a serving group to be given up: its requests are cut off and run anew. */
 const EXCHANGE_GAIN = 1.25;
 
+/**
+ * Part of the loads that may run at once which copies for later leave to endpoints that hold nothing: two loads of 16 s at a
+ * time give a newcomer every 8 s its model at once.
+ */
+const KEPT_LOAD_PART = 1 / 3;
+
+/** How soon an endpoint can be a member of a model's group, soonest first. */
+const JoinRank = { Warm: 0, Staged: 1, Staging: 2, Empty: 3, HoldsAnother: 4 } as const;
+
 /** Plans the next orders: pure, from reports alone, so that any leader continues where another stopped. */
 export function planEngineOrders(input: PlanInput): PlannedOrder[] {
     return new OrderPlan(input).assemble();
@@ -225,19 +234,33 @@
         return undefined;
     }
 
-    /** Free endpoints of a domain, those that join fastest first. */
+    /** Free endpoints of a domain that can be members, those that join fastest first. */
     private listCandidates(domain: string, model: EngineModelProfile): EndpointView[] {
-        const cost = (view: EndpointView) =>
-            isWarm(view, model)
-                ? 0
-                : !mustLoad(view, model)
-                ? 1
-                : this.input.getStaging(view) === model.name
-                ? 2
-                : 3;
         return (this.free.get(domain) ?? [])
-            .filter(view => !this.input.isOrderPending(view))
-            .sort((left, right) => Number(isStraggler(left)) - Number(isStraggler(right)) || cost(left) - cost(right));
+            .filter(view => !this.input.isOrderPending(view) && !this.isHeldUp(view, model))
+            .sort((left, right) =>
+                Number(isStraggler(left)) - Number(isStraggler(right))
+                || this.rankJoin(left, model) - this.rankJoin(right, model)
+            );
+    }
+
+    /** Its host is loading another model: it would join only afterwards, and the whole group would wait for it. */
+    private isHeldUp(view: EndpointView, model: EngineModelProfile): boolean {
+        const staging = this.input.getStaging(view);
+        return staging !== undefined && staging !== model.name && !isWarm(view, model);
+    }
+
+    private rankJoin(view: EndpointView, model: EngineModelProfile): number {
+        if (isWarm(view, model)) {
+            return JoinRank.Warm;
+        }
+        if (isStaged(view, model)) {
+            return JoinRank.Staged;
+        }
+        if (this.input.getStaging(view) === model.name) {
+            return JoinRank.Staging;
+        }
+        return this.models.every(other => mustLoad(view, other)) ? JoinRank.Empty : JoinRank.HoldsAnother;
     }
 
     private countReserve(domain: string): number {
@@ -267,7 +290,7 @@
                 if (isIdle && staged === undefined) {
                     this.stage(view, this.chooseStageModel(domain, view));
                 }
-                else if (isIdle && staged !== undefined) {
+                else if (isIdle && staged !== undefined && !this.isHeldUp(view, staged)) {
                     this.joinStandby(view, staged);
                 }
             }
@@ -296,6 +319,7 @@
      * long as the domain's hosts together still hold what its groups need after all of them have started again.
      */
     private planHostCopies(): void {
+        const keptFree = Math.ceil(this.input.profile.maxConcurrentLoads * KEPT_LOAD_PART);
         for (const [domain, views] of this.usable) {
             const counts = new Map(this.models.map(model => [model.name, this.countCopies(views, model)]));
             const needs = new Map(this.models.map(model => [model.name, this.countMembers(domain, model)]));
@@ -312,7 +336,10 @@
                 if (warm === undefined || other === undefined || !isStaged(view, warm)) {
                     continue;
                 }
-                if (this.input.getStaging(view) === undefined && isSpared(warm.name) && this.stage(view, other)) {
+                if (
+                    this.input.getStaging(view) === undefined && isSpared(warm.name)
+                    && this.stage(view, other, keptFree)
+                ) {
                     counts.set(warm.name, (counts.get(warm.name) ?? 0) - 1);
                     counts.set(other.name, (counts.get(other.name) ?? 0) + 1);
                 }
@@ -393,12 +420,12 @@
     }
 
     /** Orders a load into the host's memory if the budget has room; returns whether it did. */
-    private stage(view: EndpointView, model: EngineModelProfile): boolean {
+    private stage(view: EndpointView, model: EngineModelProfile, keptFree = 0): boolean {
         const isTaken = this.orders.some(item => item.target === view);
         if (isTaken || this.input.getStaging(view) !== undefined || this.input.isOrderPending(view)) {
             return false;
         }
-        if (!this.input.takeLoad(model.loadMs)) {
+        if (!this.input.takeLoad(model.loadMs, keptFree)) {
             return false;
         }
         this.push(view, { kind: "stage", model: model.name }, "the host is to hold the model");
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -1,5 +1,6 @@
 import type { EndpointView } from "@kumquathall/endpoint-registry";
 import { EngineGroupState, type EngineModelProfile, type EngineOrder, type EngineProfile } from "@kumquathall/types";
+import { LoadBudget } from "../loadBudget.js";
 import { planEngineOrders, type PlannedOrder } from "../planOrders.js";
 
 interface FleetEngine {
@@ -25,13 +26,21 @@
     readonly orders: PlannedOrder[] = [];
     /** Breaches of what must always hold, as text. */
     readonly breaches: string[] = [];
+    /** Orders that cost time or loads for nothing, as text. */
+    readonly wastes: string[] = [];
     private readonly engines = new Map<string, FleetEngine>();
     private readonly ordered = new Map<string, string[]>();
     private readonly openedAt = new Map<string, number>();
+    private readonly budget: LoadBudget;
     private epoch = 0;
     private nextId = 1;
 
-    constructor(readonly profile: EngineProfile) {}
+    constructor(readonly profile: EngineProfile) {
+        this.budget = new LoadBudget(
+            { loadsPerSecond: profile.loadsPerSecond, maxConcurrent: profile.maxConcurrentLoads },
+            this.now,
+        );
+    }
 
     add(domain: string, count: number): void {
         for (let at = 0; at < count; at++) {
@@ -163,7 +172,8 @@
             fence: 1,
             createEpoch: () => ++this.epoch,
             isOrderPending: () => false,
-            takeLoad: () => true,
+            takeLoad: (durationMs, keptFree) =>
+                this.isBeforeTraffic || this.budget.takeLoad(this.now, durationMs, keptFree),
             getOrderedMembers: key => this.ordered.get(key),
             isOpening: key => this.now - (this.openedAt.get(key) ?? Number.NEGATIVE_INFINITY) < 800,
             getStaging: view => this.engines.get(view.id)?.staging?.model,
@@ -184,14 +194,21 @@
         if (order.kind === "join") {
             this.ordered.set(`${order.group}@${order.epoch}`, order.members);
             this.checkTaken(engine, order.group, order.epoch);
+            if (
+                engine.staging !== undefined && engine.staging.model !== order.model && engine.lastModel !== order.model
+            ) {
+                this.wastes.push(`${order.group} waits until ${id} has loaded ${engine.staging.model}`);
+            }
             const model = this.getModel(order.model);
             const duration = engine.lastModel === order.model
                 ? LAST_MODEL_JOIN_MS
                 : engine.view.engine?.staged.includes(order.model) === true
                 ? model.warmMs
                 : this.computeLoadMs(model);
+            // What the host is loading is finished first.
+            const stagedAt = engine.lastModel === order.model ? this.now : engine.staging?.doneAt ?? this.now;
             engine.members = order.members;
-            engine.joinDoneAt = this.now + duration;
+            engine.joinDoneAt = stagedAt + duration;
             engine.lastModel = order.model;
             engine.openAt = Number.POSITIVE_INFINITY;
             const rank = order.members.indexOf(id);
@@ -211,6 +228,7 @@
             this.update(engine, { group: undefined });
         }
         else if (order.kind === "stage") {
+            this.checkStaged(engine, order.model);
             engine.staging = { model: order.model, doneAt: this.now + this.computeLoadMs(this.getModel(order.model)) };
             this.update(engine, {});
         }
@@ -285,6 +303,21 @@
         }
     }
 
+    /** No host gives up the only model that it holds while an empty one of its domain loads nothing. */
+    private checkStaged(engine: FleetEngine, model: string): void {
+        const { staged = [], fabricDomain } = engine.view.engine ?? {};
+        const isOnly = engine.lastModel === undefined && staged.length > 0 && !staged.includes(model);
+        const empty = [...this.engines.values()].find(other =>
+            !other.view.isLost && other.view.engine?.fabricDomain === fabricDomain && other.lastModel === undefined
+            && other.view.engine?.staged.length === 0 && other.staging === undefined
+        );
+        if (isOnly && empty !== undefined) {
+            this.wastes.push(
+                `${engine.view.id} gives up ${staged.join()} for ${model} while ${empty.view.id} holds nothing`,
+            );
+        }
+    }
+
     private checkWhole(engine: FleetEngine): void {
         const group = engine.view.engine?.group;
         const isWhole = group !== undefined && engine.members.every(id =>
