--- a/packages/engine-groups/src/planOrders.feature
+++ b/packages/engine-groups/src/planOrders.feature
@@ -123,3 +123,13 @@
         And a member of a "big" group is lost every 2500 ms, 2 times in all
         And 2 newcomers come to the first domain
         Then both load a model within 700 ms, which two loads take to start at 3 a second
+
+    Scenario: What is left of a large group waits for the newcomer that completes it, while the other model has its share
+        Given 11 engines in each of 3 domains
+        When 8000 ms pass before traffic
+        And traffic begins
+        And a member of a "big" group is lost every 6000 ms, 3 times in all
+        Then 2 groups of "big" and 3 groups of "small" serve
+        When 1 newcomers come to the first domain
+        And 18000 ms pass
+        Then 3 groups of "big" and 3 groups of "small" serve
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -213,7 +213,8 @@
         );
         for (const model of models) {
             const choices = [...this.free.keys()].flatMap(domain => {
-                const candidates = this.listCandidates(domain, model);
+                const kept = this.listKept(domain, model);
+                const candidates = this.listCandidates(domain, model).filter(view => !kept.includes(view));
                 const spare = this.input.isBeforeTraffic ? this.countReserve(domain) : 0;
                 if (candidates.length < model.groupSize + spare) {
                     return [];
@@ -240,17 +241,38 @@
             .filter(view => !this.input.isOrderPending(view) && !this.isHeldUp(view, model))
             .sort((left, right) =>
                 Number(isStraggler(left)) - Number(isStraggler(right))
-                || this.rankJoin(left, model) - this.rankJoin(right, model)
+                || this.computeJoinRank(left, model) - this.computeJoinRank(right, model)
             );
     }
 
+    /**
+     * Endpoints that are ready for a model which lacks more and of which they are most of a group: a model that has its share of
+     * the fleet leaves them for the newcomer that completes it.
+     */
+    private listKept(domain: string, model: EngineModelProfile): EndpointView[] {
+        if (this.input.isBeforeTraffic || (this.groupCounts.get(model.name) ?? 0) < this.computeFairCount(model)) {
+            return [];
+        }
+        const free = this.free.get(domain) ?? [];
+        return this.models.filter(other => this.computeFill(other) < this.computeFill(model)).flatMap(other => {
+            const ready = free.filter(view => !mustLoad(view, other) || this.input.getStaging(view) === other.name);
+            return ready.length * 2 > other.groupSize ? ready : [];
+        });
+    }
+
+    /** Groups of a model for its share of the endpoints that are there. */
+    private computeFairCount(model: EngineModelProfile): number {
+        const count = [...this.usable.values()].reduce((sum, views) => sum + views.length, 0);
+        return Math.floor(count * model.share / model.groupSize);
+    }
+
     /** Its host is loading another model: it would join only afterwards, and the whole group would wait for it. */
     private isHeldUp(view: EndpointView, model: EngineModelProfile): boolean {
         const staging = this.input.getStaging(view);
         return staging !== undefined && staging !== model.name && !isWarm(view, model);
     }
 
-    private rankJoin(view: EndpointView, model: EngineModelProfile): number {
+    private computeJoinRank(view: EndpointView, model: EngineModelProfile): number {
         if (isWarm(view, model)) {
             return JoinRank.Warm;
         }
