--- a/packages/engine-groups/src/planOrders.feature
+++ b/packages/engine-groups/src/planOrders.feature
@@ -128,7 +128,7 @@
         Given 11 engines in each of 3 domains
         When 8000 ms pass before traffic
         And traffic begins
-        And a member of a "big" group is lost every 6000 ms, 3 times in all
+        And a member of a "big" group is lost every 18000 ms, 3 times in all
         Then 2 groups of "big" and 3 groups of "small" serve
         When 1 newcomers come to the first domain
         And 18000 ms pass
