--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -97,15 +97,23 @@
             answerRefusal(RefusalCause.UnknownKey, route.name);
             return;
         }
-        if (!this.options.canTake(Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs))) {
+        const withinMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
+        if (!this.options.canTake(withinMs)) {
             answerRefusal(RefusalCause.Stopping, route.name);
             return;
         }
-        readBody(request, table.configuration.limits.maxBodyBytes, body => {
-            if (body === undefined) {
+        readBody(request, { maxBytes: table.configuration.limits.maxBodyBytes, withinMs }, outcome => {
+            if (outcome.kind === "tooLarge") {
                 answerRefusal(RefusalCause.BodyTooLarge, route.name);
                 return;
             }
+            if (outcome.kind === "late") {
+                // What still arrives of the body would be taken for the next request.
+                response.setHeader("connection", "close");
+                answerRefusal(RefusalCause.BodyLate, route.name);
+                return;
+            }
+            const { body } = outcome;
             const service = chooseTarget(route, Math.random());
             const forwarded = new ForwardedRequest({
                 request,
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -13,6 +13,8 @@
     NoConfiguration: { name: "no-configuration", status: 503, retryAfterMs: 500 },
     NoRoute: { name: "no-route", status: 404 },
     UnknownKey: { name: "unknown-key", status: 401 },
+    /** Its body did not arrive within the time that the caller or the route gives it; 408 promises that it has not run. */
+    BodyLate: { name: "body-late", status: 408 },
     BodyTooLarge: { name: "body-too-large", status: 413 },
     NoEndpoint: { name: "no-endpoint", status: 503, retryAfterMs: 1000 },
     Fenced: { name: "fenced", status: 503 },
