--- a/packages/control-directory/src/controlDirectory.ts
+++ b/packages/control-directory/src/controlDirectory.ts
@@ -53,7 +53,7 @@
         }
     }
 
-    /** Gateways that are linked to control, as the members last told. */
+    /** Gateways that are linked to control: the most that a member last told. */
     countGateways(): number {
         return this.gatewayCount;
     }
@@ -67,7 +67,12 @@
 
     private async refresh(): Promise<void> {
         const answers = await Promise.all(this.listLinks().map(link => this.askMembers(link)));
-        const listed = new Set([...this.seeds, ...answers.flat().map(getMemberAddress)]);
+        const told = answers.flatMap(answer => answer ?? []);
+        if (told.length > 0) {
+            // A member that has just started knows few gateways; none knows too many.
+            this.gatewayCount = Math.max(1, ...told.map(answer => answer.gateways));
+        }
+        const listed = new Set([...this.seeds, ...told.flatMap(answer => answer.members).map(getMemberAddress)]);
         this.dialAll([...listed]);
         const now = performance.now();
         for (const [address, item] of this.dialers) {
@@ -79,18 +84,14 @@
         }
     }
 
-    private async askMembers(link: Link): Promise<string[]> {
+    private async askMembers(link: Link): Promise<{ members: string[]; gateways: number } | undefined> {
         try {
             const answer = await link.call({ kind: "members" }, ASK_TIMEOUT_MS) as ControlAnswer;
-            if (answer.kind !== "members") {
-                return [];
-            }
-            this.gatewayCount = Math.max(1, answer.gateways);
-            return answer.members;
+            return answer.kind === "members" ? answer : undefined;
         }
         catch (error) {
             this.options.logger.debug("members-not-told", { peer: link.peer?.id, message: describeError(error) });
-            return [];
+            return undefined;
         }
     }
 
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,5 +1,4 @@
 import type { Logger } from "@kumquathall/logger";
-import type { RetryBudget } from "@kumquathall/retries";
 import { type CrashFact, RequestKind, type TrafficAccount, type TrafficRoute } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnswerHead, RequestDialect, RequestHead } from "./dialect.js";
@@ -13,6 +12,7 @@
 import { type Refusal, RefusalCause, refuse } from "./refusal.js";
 import { RequestTiming } from "./requestTiming.js";
 import type { RouteTable } from "./routeTable.js";
+import type { SharedRetryBudget } from "./sharedRetryBudget.js";
 
 export interface ForwardedRequestOptions {
     request: IncomingMessage;
@@ -29,7 +29,7 @@
     dialect: RequestDialect;
     logger: Logger;
     metrics: GatewayMetrics;
-    budget: RetryBudget;
+    budget: SharedRetryBudget;
     bias: FirstEventBias;
     /** Time since the caller first sent it, when it arrived, in milliseconds. */
     ageMs: number;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -1,5 +1,4 @@
 import type { Logger } from "@kumquathall/logger";
-import { RetryBudget } from "@kumquathall/retries";
 import type { CrashFact } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CallerAge } from "./callerAge.js";
@@ -11,6 +10,7 @@
 import { readBody } from "./readBody.js";
 import { RefusalCause, refuse } from "./refusal.js";
 import { chooseTarget, type RouteTable } from "./routeTable.js";
+import { SharedRetryBudget } from "./sharedRetryBudget.js";
 
 export interface ForwarderOptions {
     book: EndpointBook;
@@ -32,13 +32,10 @@
     retryRatio: number;
 }
 
-/** Part of the shared retry budget that is used, so that windows that overlap a burst stay within it. */
-const BUDGET_PART = 0.5;
-
 /** Takes requests of callers: finds the route and the account, reads the body and starts the forwarding. */
 export class Forwarder {
     private readonly active = new Set<ForwardedRequest>();
-    private readonly budgets = new Map<string, RetryBudget>();
+    private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBias();
     private readonly ages = new CallerAge();
     private isTrafficSeen = false;
@@ -144,16 +141,13 @@
         });
     }
 
-    private getBudget(service: string): RetryBudget {
+    private getBudget(service: string): SharedRetryBudget {
         const known = this.budgets.get(service);
         if (known !== undefined) {
             return known;
         }
-        const { retrySlack, retryRatio, countGateways } = this.options;
-        const budget = new RetryBudget({
-            ratio: retryRatio * BUDGET_PART,
-            maxTokens: Math.max(1, retrySlack * BUDGET_PART / Math.max(1, countGateways())),
-        });
+        const { retrySlack: slack, retryRatio: ratio, countGateways } = this.options;
+        const budget = new SharedRetryBudget({ ratio, slack, countGateways });
         this.budgets.set(service, budget);
         return budget;
     }
--- a/packages/gateway/src/gateway.feature
+++ b/packages/gateway/src/gateway.feature
@@ -77,3 +77,8 @@
             | 0     | no     |
             | 2     | no     |
             | 3     | yes    |
+
+    Scenario: Gateways that start together keep to the shared budget of repeats before they know of each other
+        Given 8 gateways that share a ratio of 0.2 and a slack of 200 and know only themselves for the first 1500 ms
+        When each gets 20 requests a second for 30000 ms and repeats every one of them 3 times if it may
+        Then no window of 10000 ms holds more repeats than the ratio of its requests and the slack
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -7,6 +7,7 @@
 import { EventSplitter } from "./eventSplitter.js";
 import { computeFingerprint } from "./fingerprint.js";
 import { chooseTarget, RouteTable } from "./routeTable.js";
+import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { canTakeWhileStopping, planStop } from "./stopPlan.js";
 
 const PROFILE = {
@@ -35,6 +36,12 @@
 let events: (number | undefined)[] = [];
 let rest = "";
 let age = 0;
+let budgets: SharedRetryBudget[] = [];
+let budgetNow = 0;
+let sharedRatio = 0;
+let sharedSlack = 0;
+let firsts: number[] = [];
+let repeats: number[] = [];
 
 function buildRoute(pathPrefix: string, targets: TrafficRoute["targets"], host = "h.example"): TrafficRoute {
     return {
@@ -181,3 +188,44 @@
 });
 
 Then("the last of them is {int} ms old", (expected: number) => strictEqual(age, expected));
+
+Given(
+    "{int} gateways that share a ratio of {float} and a slack of {int} and know only themselves for the first {int} ms",
+    (count: number, ratio: number, slack: number, unknownMs: number) => {
+        budgetNow = 0;
+        sharedRatio = ratio;
+        sharedSlack = slack;
+        const countGateways = () => budgetNow < unknownMs ? 1 : count;
+        budgets = Array.from({ length: count }, () => new SharedRetryBudget({ ratio, slack, countGateways }));
+    },
+);
+
+When(
+    "each gets {int} requests a second for {int} ms and repeats every one of them {int} times if it may",
+    (perSecond: number, lastsMs: number, times: number) => {
+        firsts = [];
+        repeats = [];
+        for (budgetNow = 0; budgetNow < lastsMs; budgetNow += 1000 / perSecond) {
+            for (const budget of budgets) {
+                budget.recordRequest();
+                firsts.push(budgetNow);
+                repeats.push(
+                    ...Array.from({ length: times }, () => budget.takeRetry()).filter(Boolean).map(() => budgetNow),
+                );
+            }
+        }
+    },
+);
+
+Then(
+    "no window of {int} ms holds more repeats than the ratio of its requests and the slack",
+    (windowMs: number) => {
+        const countFrom = (times: number[], start: number) =>
+            times.filter(at => at >= start && at < start + windowMs).length;
+        for (const start of new Set(firsts)) {
+            const most = sharedRatio * countFrom(firsts, start) + sharedSlack;
+            const count = countFrom(repeats, start);
+            ok(count <= most, `${count} repeats from ${start} ms on, ${most} allowed`);
+        }
+    },
+);
--- a/packages/retries/src/retryBudget.ts
+++ b/packages/retries/src/retryBudget.ts
@@ -3,6 +3,8 @@
     ratio?: number;
     /** Retries that may be saved up. */
     maxTokens?: number;
+    /** Retries that are there at the start; as many as may be saved up, if it is not given. */
+    initialTokens?: number;
 }
 
 const DEFAULT_RATIO = 0.2;
@@ -12,12 +14,18 @@
 export class RetryBudget {
     private tokens: number;
     private readonly ratio: number;
-    private readonly maxTokens: number;
+    private maxTokens: number;
 
     constructor(options: RetryBudgetOptions = {}) {
         this.ratio = options.ratio ?? DEFAULT_RATIO;
         this.maxTokens = options.maxTokens ?? DEFAULT_MAX_TOKENS;
-        this.tokens = this.maxTokens;
+        this.tokens = Math.min(this.maxTokens, options.initialTokens ?? this.maxTokens);
+    }
+
+    /** Changes how many retries may be saved up; what is saved beyond that is lost. */
+    setMaxTokens(maxTokens: number): void {
+        this.maxTokens = maxTokens;
+        this.tokens = Math.min(this.tokens, maxTokens);
     }
 
     /** Counts a first attempt. */
