--- a/tools/test.mjs
+++ b/tools/test.mjs
@@ -21,6 +21,16 @@
     return { passed, failed, isClean: result.status === 0 };
 }
 
+/** One seed of the soak, a few seconds of faults: the real programs as processes. */
+function runSoak() {
+    const run = script => spawnSync(process.execPath, script, { cwd: root, encoding: "utf8" });
+    const bundle = run(["tools/bundle.mjs"]);
+    const result = run(["platform/dist/testing/soak/main.js", "--seed", "1", "--minutes", "0.1"]);
+    process.stdout.write(bundle.stderr + result.stdout + result.stderr);
+    const isClean = bundle.status === 0 && result.status === 0;
+    return { passed: isClean ? 1 : 0, failed: isClean ? 0 : 1, isClean };
+}
+
 const wanted = process.argv[2] ?? "";
 const realTime = "@whole-path or @platform-path or @endpoint-pool";
 const groups = wanted === "" ? [realTime, `not (${realTime})`] : [wanted];
@@ -29,6 +39,9 @@
     console.log(`known red, passed over: ${knownRed.join(", ")}`);
     runScenarios(knownRed.join(" or "));
 }
+if (wanted === "") {
+    results.push(runSoak());
+}
 const passed = results.reduce((sum, result) => sum + result.passed, 0);
 const failed = results.reduce((sum, result) => sum + result.failed, 0);
 console.log(`${passed} passed, ${failed} failed`);
