--- a/packages/cli/src/commands/explain/index.ts
+++ b/packages/cli/src/commands/explain/index.ts
@@ -1,9 +1,12 @@
 import { type ConnectionArgs, createClient } from "../../context.js";
 import { ExitCode } from "../../exitCode.js";
 import { printJson, printLine, printTable } from "../../print.js";
+import { explainFromLogs } from "./explainFromLogs.js";
 
 export interface ExplainArgs extends ConnectionArgs {
     requestId: string;
+    /** Log files; with any, no entry is asked. */
+    logs: string[];
 }
 
 interface ExplainedRequest {
@@ -29,6 +32,9 @@
 
 /** Tells where a request went, why, and what its caller was told. Returns the exit code. */
 export async function runExplain(args: ExplainArgs): Promise<number> {
+    if (args.logs.length > 0) {
+        return explainFromLogs(args);
+    }
     const record = await createClient(args).explain(args.requestId) as ExplainedRequest;
     if (args.json) {
         printJson(record);
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -128,7 +128,14 @@
         .command(
             "explain <request-id>",
             "tell where a request went and why",
-            command => addConnectionOptions(command.positional("request-id", { type: "string", demandOption: true })),
+            command =>
+                addConnectionOptions(command.positional("request-id", { type: "string", demandOption: true }))
+                    .option("logs", {
+                        type: "string",
+                        array: true,
+                        default: [],
+                        describe: "log files of the processes; read in place of asking entries",
+                    }),
             args => set(runExplain({ ...args, requestId: args["request-id"] })),
         );
 }
--- /dev/null
+++ b/packages/log-story/src/logStory.feature
@@ -0,0 +1,41 @@
+@log-story
+Feature: A request's end is explained from log lines
+
+    Background:
+        Given these lines:
+            """
+            3.40 side-1 at=2026-01-01T00:00:03.400Z level=info event=engine-lost process=side-1 address=10.1.0.25:8140 bornMs=17
+            3.43 core-1 at=2026-01-01T00:00:03.430Z level=info event=engine-order process=core-1 endpoint=i-head address=10.1.0.24:8140 order=leave group=r-6-m epoch=7 reason="a member is missing"
+            3.41 front-1 at=2026-01-01T00:00:03.410Z level=info event=attempt-ended process=front-1 requestId=streamed endpoint=i-head outcome="its group no longer serves" status=200
+            3.90 front-1 at=2026-01-01T00:00:03.900Z level=info event=request-ended process=front-1 requestId=streamed status=200 cause=served sends=2
+            4.02 front-2 at=2026-01-01T00:00:04.020Z level=info event=request-ended process=front-2 requestId=refused status=503 cause=no-endpoint sends=0
+            at=2026-01-01T00:00:05.000Z level=info event=control-link-closed process=front-2 address=10.1.0.3:1 reason="reset"
+            at=2026-01-01T00:00:05.000Z level=info event=control-link-closed process=front-1 address=10.1.0.4:1 reason="reset"
+            at=2026-01-01T00:00:05.500Z level=info event=request-refused process=front-2 requestId=early status=503 cause=no-configuration
+            at=2026-01-01T00:00:06.000Z level=info event=request-ended process=front-1 requestId=broken status=0 cause=cut-endpoint-failed sends=2
+            at=2026-01-01T00:01:30.000Z level=info event=configuration-applied process=front-1 version=9 previous=8
+            at=2026-01-01T00:01:40.000Z level=info event=request-refused process=front-1 requestId=lost-route status=404 cause=no-route
+            not a line of ours
+            """
+
+    Scenario: A refusal because nobody served its model leads to the member that was lost and the group that was given up
+        Then "refused" ended with "status 503, no-endpoint: refused, has not run: nobody served its model or service"
+        And its causes are "engine-lost side-1, engine-order core-1"
+
+    Scenario: A stream that changed groups leads to the orders to the head that it left
+        Then "streamed" ended with "status 200, served: an endpoint's answer was delivered"
+        And its causes are "engine-order core-1"
+
+    Scenario: Links that other gateways lost explain nothing
+        Then "early" ended with "status 503, no-configuration: refused, has not run: the gateway had no configuration yet"
+        And its causes are "control-link-closed front-2"
+
+    Scenario: An answer that was broken off is said to have begun
+        Then "broken" ended with "status 0, cut-endpoint-failed: may have run: an endpoint did not answer whole, and it may not be sent again (the answer had begun and was broken off)"
+
+    Scenario: A missing route leads to the configuration in force, however long ago it came
+        Then "lost-route" ended with "status 404, no-route: no route of the configuration in force matches"
+        And its causes are "configuration-applied front-1"
+
+    Scenario: A request of which no line is there
+        Then "unknown" ended with "no line of it was found; lines may have been dropped, see log-lines-dropped"
