--- /dev/null
+++ b/packages/control-directory/src/controlDirectory.steps.ts
@@ -0,0 +1,86 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { LinkListener, type PeerIdentity } from "@kumquathall/link";
+import { createLogger } from "@kumquathall/logger";
+import { ok, strictEqual } from "node:assert";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ControlDirectory } from "./controlDirectory.js";
+
+/** Long enough for any machine; nothing is asserted of times. */
+const PATIENCE_MS = 20_000;
+const HOST = "127.0.0.1";
+const REFRESH_MS = 20;
+
+let listeners: LinkListener[] = [];
+let directory: ControlDirectory | undefined;
+
+function createIdentity(role: string, id: string): PeerIdentity {
+    return { cluster: "c", controlGroup: "g", role, id, incarnation: "1" };
+}
+
+async function waitUntil(isDone: () => boolean): Promise<void> {
+    const endsAt = performance.now() + PATIENCE_MS;
+    while (!isDone()) {
+        ok(performance.now() < endsAt, "not in time");
+        await sleep(REFRESH_MS);
+    }
+}
+
+function openDirectory(seeds: string[]): ControlDirectory {
+    directory = new ControlDirectory({
+        identity: createIdentity("gateway", "gateway-1"),
+        seeds,
+        handlers: {},
+        logger: createLogger({ write: () => undefined }),
+        refreshMs: REFRESH_MS,
+    });
+    return directory;
+}
+
+After({ tags: "@control-directory" }, () => {
+    directory?.close();
+    listeners.forEach(listener => listener.close());
+    directory = undefined;
+    listeners = [];
+});
+
+Given(
+    "control members that tell of {int}, {int} and {int} gateways and list each other",
+    async (first: number, second: number, third: number) => {
+        const counts = [first, second, third];
+        for (const [at, gateways] of counts.entries()) {
+            listeners.push(
+                await LinkListener.listen({
+                    address: { host: HOST, port: 0 },
+                    identity: createIdentity("control", `control-${at}`),
+                    handlers: {
+                        onCall: () => ({
+                            kind: "members",
+                            members: listeners.map(listener => `${HOST}:${listener.getPort()}`),
+                            gateways,
+                        }),
+                    },
+                }),
+            );
+        }
+    },
+);
+
+When("a process knows only the first of them", () => {
+    openDirectory([`${HOST}:${listeners[0].getPort()}`]);
+});
+
+Then(
+    "it links to all {int}",
+    { timeout: PATIENCE_MS * 2 },
+    (count: number) => waitUntil(() => directory?.listLinks().length === count),
+);
+
+Then(
+    "it counts {int} gateways",
+    { timeout: PATIENCE_MS * 2 },
+    (count: number) => waitUntil(() => directory?.countGateways() === count),
+);
+
+Then("a process that knows none of them counts {int} gateways", (count: number) => {
+    strictEqual(openDirectory([]).countGateways(), count);
+});
--- a/tools/test.mjs
+++ b/tools/test.mjs
@@ -1,5 +1,5 @@
 // Builds and runs the scenarios, then closes with "N passed, N failed".
-// Scenarios in real time (@whole-path) run in a process of their own, since others pause the clock of theirs.
+// Scenarios in real time (realTime) run in a process of their own, since others pause the clock of theirs.
 // Known failures that KNOWN-RED.txt lists by tag are run, printed and passed over.
 import { spawnSync } from "node:child_process";
 import { existsSync, readFileSync } from "node:fs";
@@ -32,7 +32,7 @@
 }
 
 const wanted = process.argv[2] ?? "";
-const realTime = "@whole-path or @platform-path or @endpoint-pool";
+const realTime = "@whole-path or @platform-path or @endpoint-pool or @control-directory";
 const groups = wanted === "" ? [realTime, `not (${realTime})`] : [wanted];
 const results = groups.map(group => runScenarios([`(${group})`, ...knownRed.map(tag => `not ${tag}`)].join(" and ")));
 if (knownRed.length > 0) {
