--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,6 +1,7 @@
 /** Settings, plug-ins, life cycle, health endpoints and graceful stop. */
+export type { DaemonSettings } from "./daemonSettings.js";
 export { Kernel, type KernelOptions } from "./kernel.js";
 export { createIdentity, type RoleContext, RolePlugin, type RunningRole } from "./plugin.js";
 export { getRolePlugin, listRolePlugins, registerRolePlugin } from "./registry.js";
 export { ADDRESS_LIST_SCHEMA, ADDRESS_SCHEMA } from "./schemas.js";
-export { type DaemonSettings, readSettings, SettingsError, validateSettings } from "./settings.js";
+export { readSettings, SettingsError, validateSettings } from "./settings.js";
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -1,10 +1,10 @@
 import { KumquathallError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
 import { collectDefaultMetrics, Registry } from "prom-client";
+import type { DaemonSettings } from "./daemonSettings.js";
 import { OperationsServer } from "./operationsServer.js";
 import type { RoleContext, RunningRole } from "./plugin.js";
 import { getRolePlugin } from "./registry.js";
-import type { DaemonSettings } from "./settings.js";
 import { TlsFiles } from "./tlsFiles.js";
 
 export interface KernelOptions {
--- a/packages/kernel/src/plugin.ts
+++ b/packages/kernel/src/plugin.ts
@@ -2,7 +2,7 @@
 import type { Logger } from "@kumquathall/logger";
 import { randomUUID } from "node:crypto";
 import type { Registry } from "prom-client";
-import type { DaemonSettings } from "./settings.js";
+import type { DaemonSettings } from "./daemonSettings.js";
 
 /** What the kernel gives a role. */
 export interface RoleContext {
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -2,26 +2,10 @@
 import { Ajv, type ErrorObject } from "ajv";
 import { readFileSync } from "node:fs";
 import { type Either, Left, Right } from "purify-ts";
+import type { DaemonSettings } from "./daemonSettings.js";
 import { listRolePlugins } from "./registry.js";
 import { ADDRESS_SCHEMA } from "./schemas.js";
 
-/** Content of a daemon's settings file. */
-export interface DaemonSettings {
-    cluster: string;
-    region: string;
-    dataCentre: string;
-    /** Name of the control group that decides for this process. */
-    controlGroup: string;
-    /** Unique name of this process. */
-    id: string;
-    logLevel: "debug" | "info" | "warn" | "error";
-    /** Address of liveness, readiness and metrics over HTTP. */
-    operations?: string;
-    tls?: { certificateFile: string; keyFile: string; authorityFile: string };
-    /** Settings of each role that this process runs, by the role's name. */
-    roles: Record<string, unknown>;
-}
-
 /** A mistake in a settings file. */
 export class SettingsError extends KumquathallError {}
 
--- a/packages/matrix/src/cells.ts
+++ b/packages/matrix/src/cells.ts
@@ -1,21 +1,7 @@
+import type { MatrixCell } from "./matrixCell.js";
 import { listPublishCells } from "./publishCells.js";
 import { listRequestCells } from "./requestCells.js";
 
-/** What a cell found: `undefined` when every promise held. */
-export type CellResult = string | undefined;
-
-/** One fault, or a pair of faults, at one step. */
-export interface MatrixCell {
-    /** What is going on: `publish`, `order`, `stream`. */
-    story: string;
-    fault: string;
-    step: string;
-    /** Why the cell cannot occur; it is then not run. */
-    impossible?: string;
-    /** `disabledGuard` switches a guard of the product off, to see that the cell notices. */
-    run: (seed: number, disabledGuard?: string) => Promise<CellResult>;
-}
-
 /** All cells, in the order of the page. */
 export function listCells(): MatrixCell[] {
     return [...listPublishCells(), ...listRequestCells()];
--- a/packages/matrix/src/faultsPage.ts
+++ b/packages/matrix/src/faultsPage.ts
@@ -1,4 +1,4 @@
-import type { MatrixCell } from "./cells.js";
+import type { MatrixCell } from "./matrixCell.js";
 
 /** Outcome of a cell, for the page. */
 export interface CellOutcome {
--- a/packages/matrix/src/index.ts
+++ b/packages/matrix/src/index.ts
@@ -1,4 +1,5 @@
 /** Fault matrix. */
-export { type CellResult, listCells, type MatrixCell } from "./cells.js";
+export { listCells } from "./cells.js";
 export { renderFaultsPage } from "./faultsPage.js";
+export type { CellResult, MatrixCell } from "./matrixCell.js";
 export { runInVirtualTime, type VirtualTime } from "./virtualTime.js";
--- a/packages/matrix/src/publishCells.ts
+++ b/packages/matrix/src/publishCells.ts
@@ -1,7 +1,7 @@
 import { getService } from "@kumquathall/control-state";
 import type { Command, CommandResult, ServiceDefinition } from "@kumquathall/types";
-import type { CellResult, MatrixCell } from "./cells.js";
 import { ControlGroup, type NetworkRule } from "./controlGroup.js";
+import type { CellResult, MatrixCell } from "./matrixCell.js";
 import { createRandom } from "./random.js";
 import { runInVirtualTime, type VirtualTime } from "./virtualTime.js";
 
--- a/packages/matrix/src/requestCells.ts
+++ b/packages/matrix/src/requestCells.ts
@@ -1,6 +1,6 @@
 import type { ExchangeEnd } from "@kumquathall/entry";
 import loadXxhash from "xxhash-wasm";
-import type { CellResult, MatrixCell } from "./cells.js";
+import type { CellResult, MatrixCell } from "./matrixCell.js";
 import { createRandom } from "./random.js";
 import { type FakeCaller, RequestStage, WHOLE_TEXT } from "./requestStage.js";
 import { runInVirtualTime, type VirtualTime } from "./virtualTime.js";
