--- a/packages/engine-groups/src/listGroups.ts
+++ b/packages/engine-groups/src/listGroups.ts
@@ -18,7 +18,9 @@
     isHeadLost: boolean;
     /** Every member is alive, and none is leaving. */
     isWhole: boolean;
-    /** A member is known to be lost, or leaving, or the head has broken off. Without that, a missing one may just be unheard. */
+    /** A member is known to be lost, or the head has broken off: nothing that it runs will end. */
+    isBroken: boolean;
+    /** It is broken or a member is leaving. Without that, a missing one may just be unheard. */
     isDefective: boolean;
     /** Every member has finished its join. */
     isReady: boolean;
@@ -72,7 +74,8 @@
     const head = members.find(member => getRank(member) === 0);
     const ranks = new Set(members.map(getRank));
     const headState = head?.engine?.group?.state;
-    const isDefective = hasLost || headState === EngineGroupState.Broken || members.some(member => member.isLeaving);
+    const isBroken = hasLost || headState === EngineGroupState.Broken;
+    const isDefective = isBroken || members.some(member => member.isLeaving);
     return {
         key,
         name: first.name,
@@ -84,6 +87,7 @@
         head,
         isHeadLost,
         isWhole: ranks.size === parsed.size && members.length === parsed.size && !isDefective,
+        isBroken,
         isDefective,
         isReady: members.every(member => member.engine?.group?.state !== EngineGroupState.Joining),
         isOpen: headState === EngineGroupState.Open,
--- a/packages/engine-groups/src/planOrders.feature
+++ b/packages/engine-groups/src/planOrders.feature
@@ -133,3 +133,14 @@
         When 1 newcomers come to the first domain
         And 18000 ms pass
         Then 3 groups of "big" and 3 groups of "small" serve
+
+    Scenario: A group with a leaving member ends what it runs before it is formed anew
+        Given 11 engines in each of 1 domains
+        When 8000 ms pass before traffic
+        And traffic begins
+        And the groups of "big" run 5 requests
+        And a member of rank 2 of a "big" group announces its leaving
+        And 3000 ms pass
+        Then no "leave" was ordered
+        When the groups of "big" run 0 requests
+        Then a group of "big" serves again within 1000 ms
--- a/packages/engine-groups/src/planOrders.steps.ts
+++ b/packages/engine-groups/src/planOrders.steps.ts
@@ -173,6 +173,14 @@
     },
 );
 
+When("the groups of {string} run {int} requests", (model: string, running: number) => {
+    fleet.setRunning(model, running);
+});
+
+Then("no {string} was ordered", (kind: string) => {
+    deepStrictEqual(fleet.orders.filter(item => item.order.kind === kind), []);
+});
+
 Then("no order was a waste", () => deepStrictEqual(wastes, []));
 
 When("{int} newcomers come to the first domain", (count: number) => {
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -110,6 +110,9 @@
             if (isForming) {
                 this.completeJoins(group);
             }
+            else if (this.isFinishing(group)) {
+                live.add(group.key);
+            }
             else if (!group.isWhole && !mustWait) {
                 this.releaseMembers(group, live);
             }
@@ -140,6 +143,16 @@
         });
     }
 
+    /**
+     * Members are leaving, and the head still runs requests. Gateways send it nothing new, and a member that
+     * leaves ends after a while whatever the head runs, so this ends by itself.
+     */
+    private isFinishing(group: EngineGroup): boolean {
+        const { running = 0, waiting = 0 } = group.head?.engine ?? {};
+        return group.isDefective && !group.isBroken && group.isOpen && group.members.length === group.size
+            && running + waiting > 0;
+    }
+
     /** Whether a member is gone for certain: known to be lost, ordered here and elsewhere now, or unheard for long. */
     private isKnownDefective(group: EngineGroup): boolean {
         return group.isDefective || this.input.isHeardOut || this.input.getOrderedMembers(group.key) !== undefined;
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -89,6 +89,15 @@
         return engine?.view.id ?? "";
     }
 
+    /** Sets how many requests the heads of a model's open groups run. */
+    setRunning(model: string, running: number): void {
+        for (const engine of this.engines.values()) {
+            if (this.isServing(engine) && engine.lastModel === model) {
+                this.setStatus(engine, { running });
+            }
+        }
+    }
+
     /** Members of the open groups of a model. */
     listMembers(model: string): string[] {
         return [...this.engines.values()].flatMap(engine =>
--- a/packages/gateway/src/endpointBook.ts
+++ b/packages/gateway/src/endpointBook.ts
@@ -144,10 +144,10 @@
         }
     }
 
-    /** A group whose members are all there finishes what it runs, although it takes nothing new. */
+    /** A group whose members are all there, leaving or not, finishes what it runs, although it takes nothing new. */
     private isFinishing(view: EndpointView): boolean {
         const group = listEngineGroups(this.views).find(item => item.head?.id === view.id);
-        return group !== undefined && !group.isDefective;
+        return group !== undefined && !group.isBroken;
     }
 
     private dropUse(key: string, use: EndpointUse): void {
--- a/packages/gateway/src/gateway.feature
+++ b/packages/gateway/src/gateway.feature
@@ -82,3 +82,13 @@
         Given 8 gateways that share a ratio of 0.2 and a slack of 200 and know only themselves for the first 1500 ms
         When each gets 20 requests a second for 30000 ms and repeats every one of them 3 times if it may
         Then no window of 10000 ms holds more repeats than the ratio of its requests and the slack
+
+    Scenario Outline: What a group runs goes on while a member is leaving, and ends when a member is lost
+        Given a group of 2 engines that runs a request
+        When its second member <event>
+        Then the request <fate>, and the group gets nothing new
+
+        Examples:
+            | event                  | fate        |
+            | announces its leaving  | goes on     |
+            | is lost                | is given up |
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -1,5 +1,11 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { RequestKind, type TrafficRoute } from "@kumquathall/types";
+import {
+    type EndpointFact,
+    EngineGroupState,
+    type EngineStatus,
+    RequestKind,
+    type TrafficRoute,
+} from "@kumquathall/types";
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { CallerAge } from "./callerAge.js";
 import { chooseEngine, type EngineCandidate, type EngineChoice } from "./chooseEngine.js";
@@ -29,6 +35,7 @@
 };
 
 let book: EndpointBook;
+let fate = "";
 let table: RouteTable;
 let route: TrafficRoute;
 let candidates: EngineCandidate[] = [];
@@ -217,6 +224,70 @@
     },
 );
 
+function buildMember(rank: number, isLeaving: boolean, sequence: number): EndpointFact {
+    return {
+        kind: "heartbeat",
+        id: `e${rank}`,
+        service: "s",
+        address: `h${rank}:1`,
+        dataCentre: "d",
+        slots: 34,
+        isLeaving,
+        bornMs: 1,
+        sequence,
+        engine: buildStatus(rank),
+    };
+}
+
+function buildStatus(rank: number): EngineStatus {
+    return {
+        orderSequence: 2,
+        isBusy: false,
+        running: 1,
+        waiting: 0,
+        kvUsedTokens: 0,
+        kvTotalTokens: 0,
+        pace: 1,
+        models: ["m"],
+        staged: ["m"],
+        fabricDomain: "f",
+        group: { name: "r-2-m", epoch: 7, rank, state: rank === 0 ? EngineGroupState.Open : EngineGroupState.Ready },
+    };
+}
+
+Given("a group of 2 engines that runs a request", () => {
+    fate = "goes on";
+    book = new EndpointBook(() => undefined);
+    book.record([buildMember(0, false, 1), buildMember(1, false, 1)], 0);
+    book.listHeads("s", "m")[0].inFlight.add({
+        sentAt: 0,
+        promptTokens: 10,
+        hasStarted: true,
+        onLost: () => {
+            fate = "is given up";
+        },
+    });
+});
+
+When("its second member announces its leaving", () => book.record([buildMember(1, true, 2)], 1));
+
+When("its second member is lost", () => {
+    book.record([{
+        kind: "observation",
+        address: "h1:1",
+        observerStartedMs: 1,
+        number: 1,
+        isReachable: false,
+        bornMs: 1,
+        engine: buildStatus(1),
+    }], 1);
+});
+
+Then(/^the request (.+), and the group gets nothing new$/, (expected: string) => {
+    strictEqual(fate, expected);
+    strictEqual(book.listHeads("s", "m").length, 0);
+});
+
 Then(
     "no window of {int} ms holds more repeats than the ratio of its requests and the slack",
     (windowMs: number) => {
