--- a/packages/endpoint-registry/src/endpointRegistry.feature
+++ b/packages/endpoint-registry/src/endpointRegistry.feature
@@ -26,6 +26,14 @@
         When endpoint "a" born at 300 announces itself at "h:1" with sequence 1
         Then the endpoints are "a"
 
+    Scenario: A departed endpoint gets nothing new, and is not lost while it ends what it runs
+        Given endpoint "a" born at 100 announces itself at "h:1" with sequence 1
+        When endpoint "a" born at 100 departs
+        Then endpoint "a" is leaving
+        And endpoint "a" is alive
+        When the sidecar of "h:1" finds nobody after incarnation 100
+        Then endpoint "a" is lost
+
     Scenario: A sidecar that finds nobody shows an endpoint as lost, and a new incarnation as alive
         Given endpoint "a" born at 100 announces itself at "h:1" with sequence 1
         When the sidecar of "h:1" finds nobody after incarnation 100
--- a/packages/endpoint-registry/src/endpointRegistry.steps.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.steps.ts
@@ -145,7 +145,10 @@
 );
 
 Then("the endpoints are {string}", (ids: string) => {
-    strictEqual(start().listViews().filter(view => !view.isLost).map(view => view.id).sort().join(","), ids);
+    strictEqual(
+        start().listViews().filter(view => !view.isLost && !view.isLeaving).map(view => view.id).sort().join(","),
+        ids,
+    );
 });
 
 Then("endpoint {string} is known as born at {int}", (id: string, born: number) => {
--- a/packages/endpoint-registry/src/endpointRegistry.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.ts
@@ -22,7 +22,7 @@
     slots: number;
     bornMs: number;
     isLeaving: boolean;
-    /** It has departed, or its sidecar finds nobody at its address, or another incarnation. */
+    /** Its sidecar finds nobody at its address, or another incarnation is there. */
     isLost: boolean;
     /** Newest engine state, from the sidecar if there is one. */
     engine: EngineStatus | undefined;
@@ -103,12 +103,11 @@
         ];
     }
 
-    /** All endpoints heard of, those included that are lost, replaced at their address, or departed. */
+    /** All endpoints heard of, those included that are lost, replaced at their address, or leaving. */
     listViews(): EndpointView[] {
         const newest = this.findNewestByAddress();
         return [...this.heartbeats.values()].map(item => {
-            const isGone = newest.get(item.fact.address) !== item || this.hasDeparted(item.fact);
-            return this.buildView(item, isGone);
+            return this.buildView(item, newest.get(item.fact.address) !== item);
         });
     }
 
@@ -190,7 +189,8 @@
         return newest;
     }
 
-    private buildView(item: Timed<HeartbeatFact>, isGone: boolean): EndpointView {
+    /** A departed endpoint takes nothing new, and still ends what it runs: only its sidecar or its address tells that it has ended. */
+    private buildView(item: Timed<HeartbeatFact>, isAddressTaken: boolean): EndpointView {
         const { fact, at } = item;
         const observation = this.observations.get(fact.address);
         const isSame = observation?.fact.bornMs === fact.bornMs;
@@ -205,8 +205,8 @@
             dataCentre: fact.dataCentre,
             slots: fact.slots,
             bornMs: fact.bornMs,
-            isLeaving: fact.isLeaving,
-            isLost: isGone || isReplaced || isUnreachable,
+            isLeaving: fact.isLeaving || this.hasDeparted(fact),
+            isLost: isAddressTaken || isReplaced || isUnreachable,
             engine: isSame && observation.fact.engine !== undefined ? observation.fact.engine : fact.engine,
             heardAt: Math.max(at, isObservedAlive ? observation.at : 0),
             engineHeardAt: isFresher ? observation.at : at,
--- a/packages/gateway/src/gateway.feature
+++ b/packages/gateway/src/gateway.feature
@@ -91,4 +91,5 @@
         Examples:
             | event                  | fate        |
             | announces its leaving  | goes on     |
+            | departs                | goes on     |
             | is lost                | is given up |
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -271,6 +271,8 @@
 
 When("its second member announces its leaving", () => book.record([buildMember(1, true, 2)], 1));
 
+When("its second member departs", () => book.record([{ kind: "departure", id: "e1", bornMs: 1 }], 1));
+
 When("its second member is lost", () => {
     book.record([{
         kind: "observation",
--- a/packages/types/src/endpoint.ts
+++ b/packages/types/src/endpoint.ts
@@ -52,7 +52,7 @@
     engine: EngineStatus | undefined;
 }
 
-/** An endpoint has left for good; its incarnations born up to `bornMs` get nothing more. */
+/** An endpoint is leaving for good: its incarnations born up to `bornMs` get nothing more, and end what they run. */
 export interface DepartureFact {
     kind: "departure";
     id: string;
