--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -66,7 +66,7 @@
         private readonly options: ControlRoleOptions,
     ) {
         this.identity = createIdentity(context, "control", id);
-        this.distributor = new Distributor(() => this.stateMachine.getState().configuration);
+        this.distributor = new Distributor(() => this.stateMachine.getState().configuration, context.logger);
     }
 
     static async start(
--- a/packages/control/src/distributor.ts
+++ b/packages/control/src/distributor.ts
@@ -1,4 +1,5 @@
 import type { Link } from "@kumquathall/link";
+import type { Logger } from "@kumquathall/logger";
 import type { ConfigurationUpdate, ConfigurationValue } from "@kumquathall/types";
 import { computeUpdate, type VersionedMap } from "@kumquathall/versioned-map";
 
@@ -11,7 +12,10 @@
     private readonly subscribers = new Map<Link, number>();
     private timer: NodeJS.Timeout | undefined;
 
-    constructor(private readonly getConfiguration: () => VersionedMap<ConfigurationValue>) {}
+    constructor(
+        private readonly getConfiguration: () => VersionedMap<ConfigurationValue>,
+        private readonly logger: Logger,
+    ) {}
 
     /** Subscribes a link and returns the changes after revision `since`. */
     subscribe(link: Link, since: number): ConfigurationUpdate {
@@ -38,14 +42,29 @@
         const configuration = this.getConfiguration();
         // Subscribers at the same revision share one delta.
         const updates = new Map<number, ConfigurationUpdate>();
+        let subscribers = 0;
+        let sentBytes = 0;
+        let maxQueuedBytes = 0;
         for (const [link, since] of this.subscribers) {
             if (since >= configuration.revision) {
                 continue;
             }
             const update = updates.get(since) ?? computeUpdate(configuration, since);
             updates.set(since, update);
+            const before = link.getTraffic();
             link.cast({ kind: "update", update });
             this.subscribers.set(link, configuration.revision);
+            subscribers++;
+            sentBytes += link.getTraffic().sentBytes - before.sentBytes;
+            maxQueuedBytes = Math.max(maxQueuedBytes, before.queuedBytes);
+        }
+        if (subscribers > 0) {
+            this.logger.info("configuration-sent", {
+                revision: configuration.revision,
+                subscribers,
+                bytes: sentBytes,
+                maxQueuedBytes,
+            });
         }
     }
 }
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -84,7 +84,7 @@
             seeds: settings.seeds,
             handlers: {
                 onOpen: link => this.attachLink(link),
-                onCast: message => this.handleCast(message as ControlCast),
+                onCast: (message, link) => this.handleCast(message as ControlCast, link),
             },
             logger,
         });
@@ -175,9 +175,9 @@
         }
     }
 
-    private handleCast(message: ControlCast): void {
+    private handleCast(message: ControlCast, link: Link): void {
         if (message.kind === "update") {
-            this.reader.apply(message.update);
+            this.reader.apply(message.update, link);
         }
         else if (message.kind === "endpointFacts") {
             this.tracker.record(message.facts, performance.now());
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -6,6 +6,7 @@
     LinkError,
     type LinkHandlers,
     type LinkOptions,
+    type LinkTraffic,
     type PeerIdentity,
 } from "./link.js";
 export { LinkDialer, type LinkDialerOptions } from "./linkDialer.js";
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -18,6 +18,14 @@
 /** Returns the answer to a call of the peer, or a promise of it. If the promise rejects, the call fails at the peer. */
 export type LinkCallHandler = (message: unknown, link: Link) => unknown;
 
+/** Amounts of data that a link has carried, in bytes with frame headers. */
+export interface LinkTraffic {
+    sentBytes: number;
+    receivedBytes: number;
+    /** Bytes that the peer's side of the connection has not accepted yet. */
+    queuedBytes: number;
+}
+
 export interface LinkHandlers {
     /** Called once the peer has identified itself. */
     onOpen?: (link: Link) => void;
@@ -66,6 +74,8 @@
     private lastReceivedAt = performance.now();
     private lastSentAt = 0;
     private isClosed = false;
+    private sentBytes = 0;
+    private receivedBytes = 0;
     private outgoing: Buffer[] = [];
     private isFlushScheduled = false;
     private readonly heartbeatTimer: NodeJS.Timeout;
@@ -84,6 +94,15 @@
         return !this.isClosed;
     }
 
+    getTraffic(): LinkTraffic {
+        const unflushed = this.outgoing.reduce((sum, frame) => sum + frame.length, 0);
+        return {
+            sentBytes: this.sentBytes,
+            receivedBytes: this.receivedBytes,
+            queuedBytes: unflushed + this.socket.writableLength,
+        };
+    }
+
     /** Sends a one-way message. It is dropped if the link is closed. */
     cast(message: unknown): void {
         this.sendFrame({ t: "cast", m: message });
@@ -144,7 +163,9 @@
             return;
         }
         this.lastSentAt = performance.now();
-        this.outgoing.push(encodeFrame(frame));
+        const data = encodeFrame(frame);
+        this.sentBytes += data.length;
+        this.outgoing.push(data);
         if (!this.isFlushScheduled) {
             this.isFlushScheduled = true;
             setImmediate(() => this.flush());
@@ -166,6 +187,7 @@
 
     private handleData(data: Buffer): void {
         this.lastReceivedAt = performance.now();
+        this.receivedBytes += data.length;
         let frames: unknown[];
         try {
             frames = this.decoder.decode(data);
