--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -3,6 +3,7 @@
 export { ControlRole, type ControlRoleOptions } from "./controlRole.js";
 export type { ControlSettings, FoundingSettings } from "./controlSettings.js";
 export { ControlStateMachine } from "./controlStateMachine.js";
+export { Distributor } from "./distributor.js";
 export { EndpointTask, type EndpointTaskOptions } from "./endpointTask.js";
 export { type MemberChange, type MembershipInput, planMembership } from "./planMembership.js";
 export { decidePresence, type EntryReport, type PresenceInput, type PresenceOptions } from "./presence.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,3 +9,4 @@
 export { GatewayRole, type GatewaySettings } from "./gatewayRole.js";
 export { type ForwardHeaderValues, HttpHeaderCodec, type RequestHead, type ResponseHead } from "./httpHeaderCodec.js";
 export { chooseTarget, RouteTable } from "./routeTable.js";
+export { TrafficConfigurationReader } from "./trafficConfigurationReader.js";
