Limit appends by bytes, and keep the process when a message is too large for a frame

Cause: an append was limited to 256 entries. Entries of 0.8 MB made a frame of 13.8 MB; encodeFrame throws above 8 MiB, and the exception left a timer uncaught. The next leader sent the same append and ended as well. The texts of the CBOR decoder in the logs were no part of it: Node.js printed the minified line that holds both.

The scenario 'A member that has missed more than one frame holds catches up' failed before with a frame of 12,035,983 bytes.

Fix: an append carries at most 1 MiB of entries or a single entry; answers drive the rest, as before. A batch of proposals above that becomes several entries. A cast that no frame holds closes its link with the reason, a call fails. Sizes are measured once a payload, and only where an append or a batch has more than one part.

--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -4,6 +4,7 @@
 import type { HardState, LogEntry, LogPayload, Snapshot } from "@kumquathall/types";
 import { canServeRead } from "./lease.js";
 import { getEntries, getLastIndex, getMembers, getTermAt } from "./log.js";
+import { PayloadSizes } from "./payloadSizes.js";
 import {
     type ConsensusEffect,
     type ConsensusEvent,
@@ -92,7 +93,11 @@
     private readonly timer: NodeJS.Timeout;
 
     constructor(private readonly options: ConsensusRuntimeOptions<Payload, Result>) {
-        this.timing = options.timing ?? DEFAULT_CONSENSUS_OPTIONS;
+        const sizes = new PayloadSizes();
+        this.timing = {
+            measurePayload: payload => sizes.measure(payload),
+            ...options.timing ?? DEFAULT_CONSENSUS_OPTIONS,
+        };
         const { recovered } = options;
         this.lastSnapshot = recovered.snapshot;
         if (recovered.snapshot !== undefined) {
@@ -171,10 +176,22 @@
         this.isProposalScheduled = false;
         const batch = this.proposals;
         this.proposals = [];
+        this.submitBatch(batch);
+    }
+
+    /** Submits proposals as one entry, or as several if they are larger than one append message may be. */
+    private submitBatch(batch: PendingProposal<Payload, Result>[]): void {
         if (batch.length === 0) {
             return;
         }
         const payload: LogPayload<Payload> = { kind: "commands", commands: batch.map(item => item.command) };
+        const bytes = batch.length === 1 ? 0 : this.timing.measurePayload?.(payload) ?? 0;
+        if (bytes > this.timing.maxBytesPerAppend) {
+            const half = Math.ceil(batch.length / 2);
+            this.submitBatch(batch.slice(0, half));
+            this.submitBatch(batch.slice(half));
+            return;
+        }
         this.submit(payload, {
             term: 0,
             resolve: results => batch.forEach((item, at) => item.resolve(results[at])),
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -17,6 +17,10 @@
     leaseMs: number;
     /** Most entries in one append message. */
     maxEntriesPerAppend: number;
+    /** Most bytes of entries in one append message, unless its only entry is larger. */
+    maxBytesPerAppend: number;
+    /** Returns the encoded size of an entry's payload, in bytes; without it, `maxBytesPerAppend` has no effect. */
+    measurePayload?: (payload: LogPayload<unknown>) => number;
     /** Safety check that the model checker skips to verify that it finds the violation; never set in production. */
     disabledGuard?: string;
 }
@@ -26,6 +30,7 @@
     heartbeatMs: 100,
     leaseMs: 450,
     maxEntriesPerAppend: 256,
+    maxBytesPerAppend: 1024 * 1024,
 };
 
 /** Replication progress of one other member, as tracked by the leader. */
--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -384,7 +384,7 @@
             this.sendSnapshot(now, member, progress);
             return;
         }
-        const entries = getEntries(this.state, progress.nextIndex, previousIndex + this.options.maxEntriesPerAppend);
+        const entries = this.listAppendEntries(progress.nextIndex);
         this.send(member, {
             kind: "append",
             term: this.state.hardState.term,
@@ -398,6 +398,21 @@
         this.setProgress(member, { ...progress, nextIndex: progress.nextIndex + entries.length });
     }
 
+    /** Entries from an index on, as many as the limits of one append message allow; at least one if there is any. */
+    private listAppendEntries(from: number): LogEntry<Payload>[] {
+        const { maxEntriesPerAppend, maxBytesPerAppend, measurePayload } = this.options;
+        const entries = getEntries(this.state, from, from + maxEntriesPerAppend - 1);
+        if (measurePayload === undefined || entries.length <= 1) {
+            return entries;
+        }
+        let bytes = 0;
+        const firstLeftOut = entries.findIndex((entry, at) => {
+            bytes += measurePayload(entry.payload);
+            return at > 0 && bytes > maxBytesPerAppend;
+        });
+        return firstLeftOut === -1 ? entries : entries.slice(0, firstLeftOut);
+    }
+
     private sendSnapshot(now: number, member: string, progress: PeerProgress): void {
         const resendMs = this.options.electionTimeoutMs * 4;
         if (progress.snapshotSentAt === undefined || now - progress.snapshotSentAt > resendMs) {
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -1,6 +1,6 @@
 import { describeError, KumquathallError } from "@kumquathall/errors";
 import type { Socket } from "node:net";
-import { encodeFrame, FrameDecoder } from "./frame.js";
+import { encodeFrame, FrameDecoder, FrameError } from "./frame.js";
 
 /** A call failed: it timed out, the link is not open, or the peer answered with an error. */
 export class LinkError extends KumquathallError {}
@@ -103,9 +103,17 @@
         };
     }
 
-    /** Sends a one-way message. It is dropped if the link is closed. */
+    /** Sends a one-way message. It is dropped if the link is closed; a message that no frame holds closes the link. */
     cast(message: unknown): void {
-        this.sendFrame({ t: "cast", m: message });
+        try {
+            this.sendFrame({ t: "cast", m: message });
+        }
+        catch (error) {
+            if (!(error instanceof FrameError)) {
+                throw error;
+            }
+            this.close(describeError(error));
+        }
     }
 
     /** Sends a message and waits for the answer. Rejects with {@link LinkError} on timeout, error or a closed link. */
@@ -120,7 +128,12 @@
                 reject(new LinkError(`call timed out after ${timeoutMs} ms`));
             }, timeoutMs);
             this.pendingCalls.set(id, { resolve, reject, timer });
-            this.sendFrame({ t: "call", id, m: message });
+            try {
+                this.sendFrame({ t: "call", id, m: message });
+            }
+            catch (error) {
+                this.removePendingCall(id)?.reject(new LinkError(describeError(error)));
+            }
         });
     }
 
--- a/packages/matrix/src/configurationDelivery.steps.ts
+++ b/packages/matrix/src/configurationDelivery.steps.ts
@@ -6,7 +6,7 @@
 import { createLogger } from "@kumquathall/logger";
 import { type Command, RequestKind, type TrafficConfiguration, type TrafficRoute } from "@kumquathall/types";
 import { type Clock, install } from "@sinonjs/fake-timers";
-import { deepStrictEqual, ok, strictEqual } from "node:assert";
+import { deepStrictEqual, match, ok, strictEqual } from "node:assert";
 import { ControlGroup } from "./controlGroup.js";
 import { createSimulatedVm, openSimulatedConnection } from "./simulatedNetwork.js";
 
@@ -278,3 +278,33 @@
         strictEqual(configuration === undefined ? 0 : getTraffic(configuration)?.traffic.version, count, member.id);
     }
 });
+
+let closeReason = "";
+let callError = "";
+
+Given("two processes with a link", async () => {
+    startClock();
+    const [near, far] = openSimulatedConnection(createSimulatedVm(5000), createSimulatedVm(5000));
+    const handlers = { onClose: (_link: Link, reason: string) => closeReason = reason };
+    links = [
+        new Link(near, { identity: createIdentity("control", "a"), handlers }),
+        new Link(far, { identity: createIdentity("control", "b"), handlers: {} }),
+    ];
+    await clock?.tickAsync(100);
+    ok(links[0].peer !== undefined);
+});
+
+When(
+    "one casts a message of {int} KB and calls with one of {int} KB",
+    async (castKilobytes: number, callKilobytes: number) => {
+        await links[0].call("x".repeat(callKilobytes * 1000)).catch(error => callError = String(error));
+        strictEqual(closeReason, "");
+        links[0].cast("x".repeat(castKilobytes * 1000));
+    },
+);
+
+Then("the link is closed with a reason that names the limit, and the call fails", () => {
+    match(closeReason, /exceeds the limit/);
+    match(callError, /exceeds the limit/);
+    strictEqual(links[0].isOpen(), false);
+});
--- a/packages/model/src/specifications/consensus.ts
+++ b/packages/model/src/specifications/consensus.ts
@@ -14,7 +14,13 @@
 
 /** One unit of model time in milliseconds; all durations of the model are whole units. */
 const UNIT_MS = 150;
-const TIMING: ConsensusOptions = { electionTimeoutMs: 600, heartbeatMs: 300, leaseMs: 450, maxEntriesPerAppend: 1 };
+const TIMING: ConsensusOptions = {
+    electionTimeoutMs: 600,
+    heartbeatMs: 300,
+    leaseMs: 450,
+    maxEntriesPerAppend: 1,
+    maxBytesPerAppend: 1,
+};
 /** Times further from now than this behave alike, so that they are encoded as equal. */
 const HORIZON_MS = 900;
 
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -3,4 +3,4 @@
 export { LogStore, type LogStoreOptions, type RecoveredState } from "./logStore.js";
 export { MemoryDisk } from "./memoryDisk.js";
 export { NodeDisk } from "./nodeDisk.js";
-export { decodeBlocks, encodeBlock, FORMAT_VERSION, StorageError } from "./record.js";
+export { decodeBlocks, encodeBlock, FORMAT_VERSION, measureRecord, StorageError } from "./record.js";
--- a/packages/storage/src/record.ts
+++ b/packages/storage/src/record.ts
@@ -25,6 +25,11 @@
     return block;
 }
 
+/** Returns the encoded size of a record in a block or frame, in bytes. */
+export function measureRecord(record: unknown): number {
+    return codec.encode(record).length;
+}
+
 export interface DecodedBlocks {
     records: unknown[];
     blockCount: number;
