--- a/packages/bench/src/capacityPage.ts
+++ b/packages/bench/src/capacityPage.ts
@@ -412,7 +412,7 @@
         "",
         "| load | mechanism | today |",
         "| --- | --- | --- |",
-        "| change in force everywhere in 3 s | deltas pushed from control to entries, pulled by agents from entries; leases of 2.5 s, so that a process that missed a change stops taking work | built |",
+        "| change in force everywhere in 3 s | revisions announced by control, deltas read by entries and by agents from entries; leases of 2.5 s, so that a process that missed a change stops taking work | built |",
         "| control's cost does not grow with endpoints at rest | entries report only agents that came or went | built |",
         "| leases of group members | members answer their head, heads check at each start of a request; control is not asked | built |",
         "| one computation of a delta for all entries | subscribers at the same revision share it | built |",
--- a/packages/control-state/src/applyCommand.ts
+++ b/packages/control-state/src/applyCommand.ts
@@ -13,7 +13,7 @@
 import type { ApplyOptions, ApplyResult } from "./applyResult.js";
 import { applySafePoint } from "./applySafePoint.js";
 import { applyClearSuspects, applyReportCrash } from "./applySuspects.js";
-import { applyPublishTraffic } from "./applyTraffic.js";
+import { applyChangeTraffic, applyPublishTraffic } from "./applyTraffic.js";
 import { advanceMetricTotals } from "./institutionMetrics.js";
 import { applyLedgerAbandon, applyLedgerAnswer, applyLedgerBegin } from "./ledger.js";
 import type { ControlState } from "./state.js";
@@ -40,6 +40,8 @@
             return applyPublish(state, command, options);
         case "publishTraffic":
             return applyPublishTraffic(state, command, options);
+        case "changeTraffic":
+            return applyChangeTraffic(state, command, options);
         case "registerVm":
             return applyRegisterVm(state, command, options);
         case "loseVm":
--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -23,6 +23,9 @@
     listServices,
     listSuspects,
     listVms,
+    TRAFFIC_KEY,
 } from "./lookup.js";
 export { decodeState, encodeState, encodeStateInSlices } from "./snapshot.js";
 export { type ControlState, createControlState, type LedgerEntry, type MetricTotals } from "./state.js";
+export { applyTextChange, computeTextChange } from "./textChange.js";
+export { computeTrafficChanges, listTrafficEntries, type TrafficChange } from "./trafficEntries.js";
--- a/packages/control-state/src/lookup.ts
+++ b/packages/control-state/src/lookup.ts
@@ -35,10 +35,10 @@
     return `${institution}/${service}@${version}`;
 }
 
-/** Key of the traffic configuration, of which there is one. */
+/** Key of the traffic configuration in force; the keys of its routes and accounts begin with it. */
 export const TRAFFIC_KEY = "traffic";
 
-/** The traffic configuration in force with its document, or `undefined` before the first. */
+/** Version, limits and services of the traffic configuration in force, or `undefined` before the first. */
 export function getTraffic(
     configuration: Configuration,
 ): Extract<ConfigurationValue, { kind: "traffic" }> | undefined {
--- a/packages/control-state/src/snapshot.ts
+++ b/packages/control-state/src/snapshot.ts
@@ -1,13 +1,15 @@
-import type { AuditRecord, CommandResult, ConfigurationValue } from "@kumquathall/types";
+import type { AuditRecord, CommandResult, ConfigurationValue, TrafficConfiguration } from "@kumquathall/types";
 import type { VersionedEntry } from "@kumquathall/versioned-map";
 import { Encoder } from "cbor-x";
 import { List, Map as ImmutableMap } from "immutable";
 import type { ControlState, LedgerEntry } from "./state.js";
+import { listTrafficEntries } from "./trafficEntries.js";
 
 /** One part of an encoded state: the scalars once, and the items of each collection in slices. */
 type StatePart =
     | { kind: "scalars"; revision: number; safePoint: number; ledgerTimeMs: number; lastAt: number }
     | { kind: "configuration"; items: [string, VersionedEntry<ConfigurationValue>][] }
+    | { kind: "trafficDocument"; document: string | undefined }
     | { kind: "ledger"; items: [string, LedgerEntry][] }
     | { kind: "changes"; items: [string, CommandResult][] }
     | { kind: "audit"; items: AuditRecord[] }
@@ -43,12 +45,15 @@
     const collect = <Item>(kind: StatePart["kind"]) =>
         parts.flatMap(part => part.kind === kind && "items" in part ? part.items as Item[] : []);
     const scalars = parts.find(part => part.kind === "scalars");
+    const document = parts.find(part => part.kind === "trafficDocument")?.document;
+    const stored = collect<[string, VersionedEntry<ConfigurationValue>]>("configuration");
     return {
         configuration: {
             revision: scalars?.revision ?? 0,
             safePoint: scalars?.safePoint ?? 0,
-            entries: ImmutableMap(collect<[string, VersionedEntry<ConfigurationValue>]>("configuration")),
+            entries: ImmutableMap(stored.flatMap(listStoredEntries)),
         },
+        trafficDocument: document ?? findWholeTraffic(stored)?.document,
         ledger: ImmutableMap(collect<[string, LedgerEntry]>("ledger")),
         ledgerTimeMs: scalars?.ledgerTimeMs ?? 0,
         changes: ImmutableMap(collect<[string, CommandResult]>("changes")),
@@ -73,6 +78,7 @@
     for (const items of listSlices(configuration.entries)) {
         yield encodePart({ kind: "configuration", items });
     }
+    yield encodePart({ kind: "trafficDocument", document: state.trafficDocument });
     for (const items of listSlices(state.ledger)) {
         yield encodePart({ kind: "ledger", items });
     }
@@ -116,3 +122,27 @@
         offset = end;
     }
 }
+
+/** Traffic configuration in one entry with its document, as snapshots held it before its routes had entries. */
+interface WholeTraffic {
+    traffic: TrafficConfiguration;
+    document: string;
+}
+
+function listStoredEntries(
+    [key, entry]: [string, VersionedEntry<ConfigurationValue>],
+): [string, VersionedEntry<ConfigurationValue>][] {
+    const whole = getWholeTraffic(entry);
+    return whole === undefined
+        ? [[key, entry]]
+        : [...listTrafficEntries(whole.traffic)].map(([part, value]) => [part, { revision: entry.revision, value }]);
+}
+
+function findWholeTraffic(stored: [string, VersionedEntry<ConfigurationValue>][]): WholeTraffic | undefined {
+    return stored.flatMap(([, entry]) => getWholeTraffic(entry) ?? [])[0];
+}
+
+function getWholeTraffic(entry: VersionedEntry<ConfigurationValue>): WholeTraffic | undefined {
+    const { value } = entry;
+    return value?.kind === "traffic" && "document" in value ? value as unknown as WholeTraffic : undefined;
+}
--- a/packages/control-state/src/state.ts
+++ b/packages/control-state/src/state.ts
@@ -25,6 +25,8 @@
 /** Replicated state of the control group. Immutable. */
 export interface ControlState {
     configuration: VersionedMap<ConfigurationValue>;
+    /** Document of the traffic configuration in force, as the operator sent it. */
+    trafficDocument: string | undefined;
     ledger: ImmutableMap<string, LedgerEntry>;
     /** Keys that carry an older time than this (Unix milliseconds) are refused. */
     ledgerTimeMs: number;
@@ -38,6 +40,7 @@
 export function createControlState(): ControlState {
     return {
         configuration: createVersionedMap(),
+        trafficDocument: undefined,
         ledger: ImmutableMap(),
         ledgerTimeMs: 0,
         changes: ImmutableMap(),
--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -1,6 +1,5 @@
 import { ConsensusError, type ConsensusMessage, ConsensusRuntime } from "@kumquathall/consensus";
 import { ControlDirectory, getMemberAddress } from "@kumquathall/control-directory";
-import { getTraffic } from "@kumquathall/control-state";
 import { describeError, KumquathallError } from "@kumquathall/errors";
 import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
 import { type Link, LinkDialer, LinkListener, parseAddress, type PeerIdentity } from "@kumquathall/link";
@@ -25,6 +24,7 @@
 import { buildRevisionReport } from "./revisionReport.js";
 import { listSnapshotParts, type SnapshotPart, SnapshotReceiver } from "./snapshotTransfer.js";
 import { buildStatus } from "./status.js";
+import { TrafficPublisher } from "./trafficPublisher.js";
 
 /** A consensus message between two members, or one part of a snapshot. */
 type MemberCast =
@@ -54,6 +54,7 @@
     private runtime!: ConsensusRuntime<Command, CommandResult>;
     private leaderTask!: LeaderTask;
     private leaderCaller!: LeaderCaller;
+    private trafficPublisher!: TrafficPublisher;
     private membershipTask: MembershipTask | undefined;
     private endpointTask: EndpointTask | undefined;
     private directory: ControlDirectory | undefined;
@@ -81,16 +82,11 @@
     }
 
     /**
-     * Publishes a traffic configuration, unless this version or a newer one is in force.
-     * Rejects with {@link KumquathallError} if no leader confirms it in time.
+     * Publishes a traffic configuration, unless this version or a newer one is in force. Rejects with
+     * {@link ConfigurationSizeError} if it is too large, and with {@link KumquathallError} if no leader confirms it.
      */
     async publishTraffic(traffic: TrafficConfiguration, document: string): Promise<void> {
-        const current = getTraffic(this.stateMachine.getState().configuration);
-        if (current !== undefined && current.traffic.version >= traffic.version) {
-            return;
-        }
-        const command: Command = { kind: "publishTraffic", traffic, document, at: new Date().toISOString() };
-        await this.leaderCaller.call({ kind: "propose", command });
+        await this.trafficPublisher.publish(traffic, document);
     }
 
     /**
@@ -160,7 +156,7 @@
             transport: { send: (to, message) => this.sendToMember(to, message) },
             logger: context.logger,
             onFatal: error => context.fail(error),
-            onApplied: () => this.distributor.schedulePush(),
+            onApplied: () => this.distributor.scheduleAnnouncement(),
         });
         this.leaderTask = new LeaderTask({
             runtime: this.runtime,
@@ -176,6 +172,10 @@
             getLeaderLink: leaderId => this.dialers.get(leaderId)?.getLink(),
             listLinks: () => this.directory?.listLinks() ?? [],
         });
+        this.trafficPublisher = new TrafficPublisher({
+            stateMachine: this.stateMachine,
+            callLeader: (call, timeoutMs) => this.leaderCaller.call(call, timeoutMs),
+        });
         this.openTasks();
         registerControlMetrics(context.metrics, this.runtime, this.stateMachine);
         this.listener = await LinkListener.listen({
@@ -187,7 +187,7 @@
                 onCast: (message, link) => this.handleCast(message as MemberCast, link),
                 onOpen: link => this.endpointTask?.addLink(link),
                 onClose: link => {
-                    this.distributor.unsubscribe(link);
+                    this.distributor.removeWatcher(link);
                     this.endpointTask?.removeLink(link);
                 },
             },
@@ -321,8 +321,10 @@
                 return this.answerRead();
             case "watchEndpoints":
                 return { kind: "endpoints", facts: this.endpointTask?.watch(link) ?? [] };
-            case "subscribe":
-                return { kind: "update", update: this.distributor.subscribe(link, call.since) };
+            case "watchRevision":
+                return this.distributor.watch(link);
+            case "readConfiguration":
+                return this.distributor.read(call.since, call.keyPrefix ?? "");
             case "propose":
                 return this.propose(call.command);
             case "query":
@@ -350,7 +352,7 @@
 
     private answerRead(): ControlAnswer {
         return this.runtime.canServe()
-            ? { kind: "traffic", document: getTraffic(this.stateMachine.getState().configuration)?.document }
+            ? { kind: "traffic", document: this.stateMachine.getState().trafficDocument }
             : this.buildRedirect();
     }
 
--- a/packages/control/src/distributor.ts
+++ b/packages/control/src/distributor.ts
@@ -1,68 +1,83 @@
+import { getTraffic } from "@kumquathall/control-state";
 import type { Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
-import type { ConfigurationUpdate, ConfigurationValue } from "@kumquathall/types";
+import type { ConfigurationUpdate, ConfigurationValue, ControlAnswer, RevisionCast } from "@kumquathall/types";
 import { computeUpdate, type VersionedMap } from "@kumquathall/versioned-map";
 
-/** Changes within this time are sent to a subscriber as one delta, in milliseconds. */
+/** Changes within this time are announced together, in milliseconds. */
 const COALESCE_MS = 20;
 
-/** Sends configuration deltas to subscribed links. */
+/**
+ * Announces new configuration revisions to watching links, and answers their reads. Since a watcher reads at its own
+ * pace, changes that come faster than its link carries them are merged into one read and never queue on the link.
+ */
 export class Distributor {
-    /** Revision that was last sent to each subscriber. */
-    private readonly subscribers = new Map<Link, number>();
+    /** Revision that was last announced to each watching link. */
+    private readonly watchers = new Map<Link, number>();
+    /** Updates of the newest revision, by what was read; readers at the same revision share one. */
+    private readonly updates = new Map<string, ConfigurationUpdate>();
     private timer: NodeJS.Timeout | undefined;
+    private version = 0;
 
     constructor(
         private readonly getConfiguration: () => VersionedMap<ConfigurationValue>,
         private readonly logger: Logger,
     ) {}
 
-    /** Subscribes a link and returns the changes after revision `since`. */
-    subscribe(link: Link, since: number): ConfigurationUpdate {
-        const update = computeUpdate(this.getConfiguration(), since);
-        this.subscribers.set(link, update.revision);
-        return update;
+    /** Announces later revisions to a link; returns the current one. */
+    watch(link: Link): ControlAnswer {
+        const { revision } = this.getConfiguration();
+        this.watchers.set(link, revision);
+        return { kind: "revision", revision };
     }
 
-    unsubscribe(link: Link): void {
-        this.subscribers.delete(link);
+    /** Ends the announcements to a link, for example because it was closed. */
+    removeWatcher(link: Link): void {
+        this.watchers.delete(link);
     }
 
-    /** Schedules a push of changes to all subscribers; calls before it runs share the same push. */
-    schedulePush(): void {
-        this.timer ??= setTimeout(() => this.push(), COALESCE_MS);
+    /** Returns the changes after revision `since`, of the entries whose keys begin with `keyPrefix`. */
+    read(since: number, keyPrefix: string): ControlAnswer {
+        const configuration = this.getConfiguration();
+        const readKey = `${since} ${keyPrefix}`;
+        let update = this.updates.get(readKey);
+        if (update?.revision !== configuration.revision) {
+            update = computeUpdate(configuration, since, key => key.startsWith(keyPrefix));
+            this.updates.set(readKey, update);
+        }
+        return { kind: "update", update };
+    }
+
+    /** Schedules the announcement of the newest revision; calls before it runs share it. */
+    scheduleAnnouncement(): void {
+        this.timer ??= setTimeout(() => this.announce(), COALESCE_MS);
     }
 
     close(): void {
         clearTimeout(this.timer);
     }
 
-    private push(): void {
+    private announce(): void {
         this.timer = undefined;
+        this.updates.clear();
         const configuration = this.getConfiguration();
-        // Subscribers at the same revision share one delta.
-        const updates = new Map<number, ConfigurationUpdate>();
-        let subscribers = 0;
-        let sentBytes = 0;
+        const { revision } = configuration;
+        const message: RevisionCast = { kind: "revision", revision };
         let maxQueuedBytes = 0;
-        for (const [link, since] of this.subscribers) {
-            if (since >= configuration.revision) {
-                continue;
+        for (const [link, announced] of this.watchers) {
+            if (announced < revision) {
+                maxQueuedBytes = Math.max(maxQueuedBytes, link.getTraffic().queuedBytes);
+                link.cast(message);
+                this.watchers.set(link, revision);
             }
-            const update = updates.get(since) ?? computeUpdate(configuration, since);
-            updates.set(since, update);
-            const before = link.getTraffic();
-            link.cast({ kind: "update", update });
-            this.subscribers.set(link, configuration.revision);
-            subscribers++;
-            sentBytes += link.getTraffic().sentBytes - before.sentBytes;
-            maxQueuedBytes = Math.max(maxQueuedBytes, before.queuedBytes);
         }
-        if (subscribers > 0) {
-            this.logger.info("configuration-sent", {
-                revision: configuration.revision,
-                subscribers,
-                bytes: sentBytes,
+        const version = getTraffic(configuration)?.version ?? 0;
+        if (version !== this.version) {
+            this.version = version;
+            this.logger.info("configuration-announced", {
+                version,
+                revision,
+                watchers: this.watchers.size,
                 maxQueuedBytes,
             });
         }
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -171,7 +171,7 @@
             this.orders.clear();
             this.budgets.clear();
         }
-        const services = getTraffic(stateMachine.getState().configuration)?.traffic.services ?? [];
+        const services = getTraffic(stateMachine.getState().configuration)?.services ?? [];
         for (const service of services) {
             this.planService(service, now);
         }
--- a/packages/control/src/leaderCaller.ts
+++ b/packages/control/src/leaderCaller.ts
@@ -15,8 +15,8 @@
     listLinks: () => Link[];
 }
 
-/** Timeout of a call with all its attempts, in milliseconds: below the time that callers wait for an answer. */
-const CALL_TIMEOUT_MS = 900;
+/** Default timeout of a call with all its attempts, in milliseconds: below the time that callers wait for an answer. */
+export const LEADER_CALL_TIMEOUT_MS = 900;
 /** Pause before a call is tried again while there is no leader, in milliseconds. */
 const RETRY_PAUSE_MS = 50;
 
@@ -25,8 +25,8 @@
     constructor(private readonly options: LeaderCallerOptions) {}
 
     /** Retries until a leader handles the call. Rejects with {@link KumquathallError} if none does in time. */
-    async call(call: ControlCall): Promise<ControlAnswer> {
-        const endsAt = performance.now() + CALL_TIMEOUT_MS;
+    async call(call: ControlCall, timeoutMs: number = LEADER_CALL_TIMEOUT_MS): Promise<ControlAnswer> {
+        const endsAt = performance.now() + timeoutMs;
         for (;;) {
             const answer = await this.callOnce(call, endsAt - performance.now());
             if (isHandled(answer)) {
--- a/packages/entry/src/configurationReader.ts
+++ b/packages/entry/src/configurationReader.ts
@@ -29,9 +29,10 @@
 export class ConfigurationReader {
     private map: VersionedMap<ConfigurationValue> = createVersionedMap();
     private revisionReports: RevisionReport[] = [];
-    /** Control member that this entry is subscribed to. */
+    /** Control member whose revision this entry watches and from which it reads. */
     private source: string | undefined;
-    private isSubscribing = false;
+    private isReading = false;
+    private mustReadAgain = false;
     private readonly timer: NodeJS.Timeout;
 
     constructor(private readonly options: ConfigurationReaderOptions) {
@@ -61,12 +62,14 @@
         void this.pollMember(member);
     }
 
-    /** Applies a pushed update. Subscribes again if the update shows that earlier ones were missed. */
-    handleUpdate(update: ConfigurationUpdate): void {
-        if (!update.isSnapshot && update.since > this.map.revision) {
-            void this.subscribe();
-            return;
+    /** Reads the changes up to a revision that the source has announced, unless they are applied already. */
+    handleRevision(revision: number): void {
+        if (revision > this.map.revision) {
+            void this.readChanges();
         }
+    }
+
+    private applyUpdate(update: ConfigurationUpdate): void {
         const previous = this.map;
         this.map = compactMap(applyUpdate(this.map, update), update.revision - REMOVED_KEY_REVISIONS);
         if (previous !== this.map) {
@@ -97,7 +100,7 @@
         this.revisionReports = recordRevisionReport(this.revisionReports, answer.vouch, sentAt);
         const isBehind = answer.vouch.accepted > this.map.revision;
         if (isBehind && member === this.source) {
-            void this.subscribe();
+            void this.readChanges();
         }
         else if (isBehind && this.getLeaseMs(performance.now()) < CONFIGURATION_LEASE_MS / 2) {
             // Less than half of the lease is left: the source lags behind a majority of members. Switch to this member.
@@ -106,18 +109,29 @@
         }
     }
 
+    /** Watches the source's revision and reads the changes that this entry lacks. */
     private async subscribe(): Promise<void> {
-        if (this.isSubscribing || this.source === undefined) {
+        if (this.source !== undefined) {
+            await this.options.client.callMember(this.source, { kind: "watchRevision" });
+            await this.readChanges();
+        }
+    }
+
+    /** Reads from the source until a read brings nothing new; a call during a read causes one more. */
+    private async readChanges(): Promise<void> {
+        this.mustReadAgain = true;
+        if (this.isReading) {
             return;
         }
-        this.isSubscribing = true;
-        const answer = await this.options.client.callMember(this.source, {
-            kind: "subscribe",
-            since: this.map.revision,
-        });
-        this.isSubscribing = false;
-        if (answer?.kind === "update") {
-            this.handleUpdate(answer.update);
+        this.isReading = true;
+        while (this.mustReadAgain && this.source !== undefined) {
+            this.mustReadAgain = false;
+            const since = this.map.revision;
+            const answer = await this.options.client.callMember(this.source, { kind: "readConfiguration", since });
+            if (answer?.kind === "update") {
+                this.applyUpdate(answer.update);
+            }
         }
+        this.isReading = false;
     }
 }
--- a/packages/entry/src/entryRole.ts
+++ b/packages/entry/src/entryRole.ts
@@ -1,7 +1,7 @@
 import { ProblemCode, RefusalError } from "@kumquathall/errors";
 import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
 import type { PeerIdentity } from "@kumquathall/link";
-import { type ConfigurationUpdate, Outcome } from "@kumquathall/types";
+import { Outcome, type RevisionCast } from "@kumquathall/types";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import loadXxhash from "xxhash-wasm";
@@ -49,7 +49,7 @@
             identity: this.identity,
             members: settings.control,
             onOpen: member => this.reader.handleLinkOpened(member),
-            onCast: message => this.handleControlCast(message as { kind: string; update: ConfigurationUpdate }),
+            onCast: message => this.handleControlCast(message as RevisionCast),
         });
         this.reader = new ConfigurationReader({
             client: this.client,
@@ -149,9 +149,9 @@
         return this.reader.getLeaseMs(performance.now()) > 0;
     }
 
-    private handleControlCast(message: { kind: string; update: ConfigurationUpdate }): void {
-        if (message.kind === "update") {
-            this.reader.handleUpdate(message.update);
+    private handleControlCast(message: RevisionCast): void {
+        if (message.kind === "revision") {
+            this.reader.handleRevision(message.revision);
         }
     }
 
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -25,6 +25,8 @@
     account: TrafficAccount | undefined;
     service: string;
     table: RouteTable;
+    /** Version by which the request was accepted. */
+    configurationVersion: number;
     tracker: EndpointTracker;
     codec: HttpHeaderCodec;
     logger: Logger;
@@ -437,7 +439,7 @@
         clearTimeout(this.choiceTimer);
         clearTimeout(this.stallTimer);
         effect();
-        const { metrics, route, logger, head, service, account, arrivedAt, table } = this.options;
+        const { metrics, route, logger, head, service, account, arrivedAt, configurationVersion } = this.options;
         metrics.answers.inc({ route: route.name, status: String(status), cause });
         if (this.firstByteAt !== undefined) {
             metrics.firstByteSeconds.observe({ route: route.name }, (this.firstByteAt - arrivedAt) / 1000);
@@ -447,7 +449,7 @@
             route: route.name,
             service,
             account: account?.name,
-            configuration: table.configuration.version,
+            configuration: configurationVersion,
             status,
             cause,
             sends: this.sends,
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -18,6 +18,8 @@
     logger: Logger;
     metrics: GatewayMetrics;
     getTable: () => RouteTable | undefined;
+    /** Whether the table is known to be superseded for longer than it may be used. */
+    isConfigurationBehind: () => boolean;
     /** Whether the process has been asked to stop. */
     isStopping: () => boolean;
     /** Whether a request that may take this long, in milliseconds, can finish before the process stops. */
@@ -75,7 +77,7 @@
                 route,
                 cause: cause.name,
                 status: cause.status,
-                configuration: table?.configuration.version,
+                configuration: table?.getVersion(),
             });
             request.resume();
             refuse(response, codec, head.requestId, cause);
@@ -84,6 +86,10 @@
             refuseRequest(RefusalCause.NoConfiguration);
             return;
         }
+        if (this.options.isConfigurationBehind()) {
+            refuseRequest(RefusalCause.ConfigurationBehind);
+            return;
+        }
         const route = table.findRoute(request.headers.host ?? "", target);
         if (route === undefined) {
             refuseRequest(RefusalCause.NoRoute);
@@ -99,7 +105,9 @@
             refuseRequest(RefusalCause.Stopping, route.name);
             return;
         }
-        readBody(request, { maxBytes: table.configuration.limits.maxBodyBytes, timeoutMs }, outcome => {
+        const configurationVersion = table.getVersion();
+        const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
+        readBody(request, { maxBytes, timeoutMs }, outcome => {
             if (outcome.kind === "tooLarge") {
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
                 return;
@@ -122,6 +130,7 @@
                 account,
                 service,
                 table,
+                configurationVersion,
                 tracker: this.options.tracker,
                 codec,
                 logger: this.options.logger,
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -70,15 +70,20 @@
 Given(
     "routes {string} to {string} and {string} to {string} of host {string}",
     (first: string, firstTarget: string, second: string, secondTarget: string, host: string) => {
-        table = new RouteTable({
-            version: 1,
-            routes: [
-                buildRoute(first, [{ service: firstTarget, weight: 1 }], host),
-                buildRoute(second, [{ service: secondTarget, weight: 1 }], host),
-            ],
-            services: [],
-            limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-            accounts: [],
+        const routes = [
+            buildRoute(first, [{ service: firstTarget, weight: 1 }], host),
+            buildRoute(second, [{ service: secondTarget, weight: 1 }], host),
+        ];
+        table = new RouteTable();
+        table.apply({
+            since: 0,
+            revision: 1,
+            isSnapshot: true,
+            changes: routes.map((item, at) => ({
+                key: `traffic/route/${at}`,
+                revision: 1,
+                value: { kind: "trafficRoute", route: item },
+            })),
         });
     },
 );
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -2,7 +2,7 @@
 import { describeError } from "@kumquathall/errors";
 import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
 import { type Link, parseAddress } from "@kumquathall/link";
-import type { ConfigurationUpdate, ControlAnswer, EndpointFact } from "@kumquathall/types";
+import type { ControlAnswer, EndpointFact, RevisionCast } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { EndpointTracker } from "./endpointTracker.js";
 import { Forwarder } from "./forwarder.js";
@@ -26,7 +26,7 @@
 }
 
 type ControlCast =
-    | { kind: "update"; update: ConfigurationUpdate }
+    | RevisionCast
     | { kind: "endpointFacts"; facts: EndpointFact[] };
 
 const DRAIN_CHECK_MS = 50;
@@ -53,7 +53,7 @@
     ) {
         const { logger } = context;
         this.stopPlan = planStop(settings.stopWithinMs);
-        this.reader = new TrafficConfigurationReader(logger, table => this.applyTable(table));
+        this.reader = new TrafficConfigurationReader({ logger, onChange: table => this.applyTable(table) });
         this.tracker = new EndpointTracker(name => this.reader.getTable()?.getService(name));
         this.forwarder = new Forwarder({
             tracker: this.tracker,
@@ -61,6 +61,7 @@
             logger,
             metrics: registerGatewayMetrics(context.metrics),
             getTable: () => this.reader.getTable(),
+            isConfigurationBehind: () => this.reader.isBehind(performance.now()),
             isStopping: () => this.stoppingSince !== undefined,
             canAccept: maxDurationMs =>
                 this.stoppingSince === undefined
@@ -84,6 +85,7 @@
             seeds: settings.seeds,
             handlers: {
                 onOpen: link => this.attachLink(link),
+                onClose: link => this.reader.removeLink(link),
                 onCast: (message, link) => this.handleCast(message as ControlCast, link),
             },
             logger,
@@ -106,7 +108,8 @@
     }
 
     isReady(): boolean {
-        return this.stoppingSince === undefined && this.reader.getTable() !== undefined;
+        return this.stoppingSince === undefined && this.reader.getTable() !== undefined
+            && !this.reader.isBehind(performance.now());
     }
 
     /** Fails the readiness check, serves requests that still arrive, and resolves when all have ended or time is up. */
@@ -128,6 +131,7 @@
     }
 
     close(): Promise<void> {
+        this.reader.close();
         this.directory.close();
         this.tracker.close();
         this.server.close();
@@ -153,7 +157,10 @@
     }
 
     private applyTable(table: RouteTable): void {
-        const { limits } = table.configuration;
+        const limits = table.getLimits();
+        if (limits === undefined) {
+            return;
+        }
         this.server.headersTimeout = limits.headerTimeoutMs;
         this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
     }
@@ -163,7 +170,7 @@
         if (this.forwarder.hasReceivedRequests()) {
             link.cast({ kind: "trafficSeen" });
         }
-        void this.reader.subscribe(link);
+        void this.reader.watch(link);
         link.call({ kind: "watchEndpoints" })
             .then(answer => this.recordFacts(answer as ControlAnswer))
             .catch(error => link.close(`no endpoints: ${describeError(error)}`));
@@ -176,8 +183,8 @@
     }
 
     private handleCast(message: ControlCast, link: Link): void {
-        if (message.kind === "update") {
-            this.reader.apply(message.update, link);
+        if (message.kind === "revision") {
+            this.reader.recordRevision(link, message.revision);
         }
         else if (message.kind === "endpointFacts") {
             this.tracker.record(message.facts, performance.now());
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -11,6 +11,8 @@
 /** Reasons for a refusal. Status 503 guarantees that the request has not run; after 502 and 504 it may have run. */
 export const RefusalCause = {
     NoConfiguration: { name: "no-configuration", status: 503, retryAfterMs: 500 },
+    /** A newer version has been confirmed for some time, and this gateway could not read it. */
+    ConfigurationBehind: { name: "configuration-behind", status: 503, retryAfterMs: 500 },
     NoRoute: { name: "no-route", status: 404 },
     UnknownKey: { name: "unknown-key", status: 401 },
     /** The body did not arrive by the caller's deadline or the route's timeout; 408 guarantees that it has not run. */
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -1,30 +1,87 @@
-import type { TrafficAccount, TrafficConfiguration, TrafficRoute, TrafficService } from "@kumquathall/types";
+import type {
+    CallerLimits,
+    ConfigurationUpdate,
+    ConfigurationValue,
+    TrafficAccount,
+    TrafficRoute,
+    TrafficService,
+} from "@kumquathall/types";
 
-/** Looks up routes, accounts and services of one traffic configuration. */
+/** The routes of one host by path prefix. */
+class HostRoutes {
+    private readonly routes = new Map<string, TrafficRoute>();
+    /** Lengths of the prefixes, longest first. */
+    private lengths: number[] = [];
+
+    set(route: TrafficRoute): void {
+        this.routes.set(route.pathPrefix, route);
+        if (!this.lengths.includes(route.pathPrefix.length)) {
+            this.lengths = [...this.lengths, route.pathPrefix.length].sort((left, right) => right - left);
+        }
+    }
+
+    remove(route: TrafficRoute): void {
+        if (this.routes.get(route.pathPrefix) === route) {
+            this.routes.delete(route.pathPrefix);
+        }
+    }
+
+    find(path: string): TrafficRoute | undefined {
+        for (const length of this.lengths) {
+            const route = length <= path.length ? this.routes.get(path.slice(0, length)) : undefined;
+            if (route !== undefined) {
+                return route;
+            }
+        }
+        return undefined;
+    }
+}
+
+/**
+ * Routes, accounts and services of the newest traffic configuration received. An update costs as much as it changes, and
+ * finding a route as much as the host has lengths of prefixes.
+ */
 export class RouteTable {
-    private readonly routesByHost = new Map<string, TrafficRoute[]>();
+    private readonly entries = new Map<string, ConfigurationValue>();
+    private readonly hosts = new Map<string, HostRoutes>();
     private readonly accountsByKey = new Map<string, TrafficAccount>();
-    private readonly services = new Map<string, TrafficService>();
+    private accountCount = 0;
+    private current: Extract<ConfigurationValue, { kind: "traffic" }> | undefined;
 
-    constructor(readonly configuration: TrafficConfiguration) {
-        for (const route of configuration.routes) {
-            const host = route.host.toLowerCase();
-            this.routesByHost.set(host, [...this.routesByHost.get(host) ?? [], route]);
-        }
-        for (const routes of this.routesByHost.values()) {
-            routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+    /** Version in force; 0 before the first. */
+    getVersion(): number {
+        return this.current?.version ?? 0;
+    }
+
+    /** Limits on what callers may send; `undefined` before the first version. */
+    getLimits(): CallerLimits | undefined {
+        return this.current?.limits;
+    }
+
+    getService(name: string): TrafficService | undefined {
+        return this.current?.services.find(service => service.name === name);
+    }
+
+    /** Applies the changes of an update; a snapshot replaces everything. */
+    apply(update: ConfigurationUpdate): void {
+        const changes = new Map(update.changes.map(change => [change.key, change.value]));
+        const replaced = update.isSnapshot ? [...this.entries.keys()] : [...changes.keys()];
+        // A key may move from one account to another: everything old is removed before anything new is added.
+        for (const key of replaced) {
+            this.removeEntry(key);
         }
-        for (const account of configuration.accounts) {
-            account.keys.forEach(key => this.accountsByKey.set(key, account));
+        for (const [key, value] of changes) {
+            if (value !== undefined) {
+                this.addEntry(key, value);
+            }
         }
-        configuration.services.forEach(service => this.services.set(service.name, service));
     }
 
     /** Finds the route of a host with the longest matching path prefix; ignores the host's port and the query. */
     findRoute(host: string, target: string): TrafficRoute | undefined {
         const path = target.split("?", 1)[0];
         const name = host.toLowerCase().replace(/:\d+$/, "");
-        return this.routesByHost.get(name)?.find(route => path.startsWith(route.pathPrefix));
+        return this.hosts.get(name)?.find(path);
     }
 
     findAccount(key: string | undefined): TrafficAccount | undefined {
@@ -33,11 +90,43 @@
 
     /** Whether requests need an account's key. */
     hasAccounts(): boolean {
-        return this.configuration.accounts.length > 0;
+        return this.accountCount > 0;
     }
 
-    getService(name: string): TrafficService | undefined {
-        return this.services.get(name);
+    private removeEntry(key: string): void {
+        const value = this.entries.get(key);
+        this.entries.delete(key);
+        if (value?.kind === "traffic") {
+            this.current = undefined;
+        }
+        else if (value?.kind === "trafficRoute") {
+            this.hosts.get(value.route.host.toLowerCase())?.remove(value.route);
+        }
+        else if (value?.kind === "trafficAccount") {
+            this.accountCount--;
+            for (const accountKey of value.account.keys) {
+                if (this.accountsByKey.get(accountKey) === value.account) {
+                    this.accountsByKey.delete(accountKey);
+                }
+            }
+        }
+    }
+
+    private addEntry(key: string, value: ConfigurationValue): void {
+        this.entries.set(key, value);
+        if (value.kind === "traffic") {
+            this.current = value;
+        }
+        else if (value.kind === "trafficRoute") {
+            const host = value.route.host.toLowerCase();
+            const routes = this.hosts.get(host) ?? new HostRoutes();
+            this.hosts.set(host, routes);
+            routes.set(value.route);
+        }
+        else if (value.kind === "trafficAccount") {
+            this.accountCount++;
+            value.account.keys.forEach(accountKey => this.accountsByKey.set(accountKey, value.account));
+        }
     }
 }
 
--- a/packages/gateway/src/trafficConfigurationReader.ts
+++ b/packages/gateway/src/trafficConfigurationReader.ts
@@ -4,24 +4,68 @@
 import type { ConfigurationUpdate, ControlAnswer } from "@kumquathall/types";
 import { RouteTable } from "./routeTable.js";
 
-/** Keeps the latest traffic configuration received over links to control members; ignores older versions. */
+export interface TrafficConfigurationReaderOptions {
+    logger: Logger;
+    /** Called after each new version with the table that holds it. */
+    onChange: (table: RouteTable) => void;
+    /** Draws numbers in [0, 1), by which a gateway prefers one member or another. */
+    random?: () => number;
+}
+
+/** A watched control member. */
+interface Source {
+    /** Newest revision that the member has announced. */
+    revision: number;
+    /** The open link with the highest rank is preferred for reads; a failed read lowers it below the others. */
+    rank: number;
+}
+
+/** Keys of the entries that make up the traffic configuration begin with this. */
+const KEY_PREFIX = "traffic";
+/** Timeout of the first attempt to read, in milliseconds. It doubles with each failure: a large read may need longer. */
+const MIN_READ_TIMEOUT_MS = 700;
+const MAX_READ_TIMEOUT_MS = 8000;
+const RETRY_PAUSE_MS = 100;
+/** How long a read waits for the preferred member to have a revision that another has announced, in milliseconds. */
+const PREFERRED_WAIT_MS = 150;
+const PREFERRED_POLL_MS = 20;
+/**
+ * How long requests are served by a configuration that is known to be superseded, in milliseconds: below the 2 s within
+ * which a confirmed version must be in force.
+ */
+const MAX_BEHIND_MS = 1500;
+
+/**
+ * Keeps the traffic configuration up to date. Every linked control member announces new revisions; the changes are read
+ * from one member at a time, a preferred one if it has them, so that reads spread over the members.
+ */
 export class TrafficConfigurationReader {
-    private table: RouteTable | undefined;
-    /** Bytes received over each link up to the last update. */
-    private readonly receivedBytes = new WeakMap<Link, number>();
+    private readonly table = new RouteTable();
+    private revision = 0;
+    private readonly sources = new Map<Link, Source>();
+    /** Announced revisions that are not applied yet, in ascending order. */
+    private pending: { revision: number; announcedAt: number }[] = [];
+    private readTimeoutMs = MIN_READ_TIMEOUT_MS;
+    private isReading = false;
 
-    constructor(private readonly logger: Logger, private readonly onChange: (table: RouteTable) => void) {}
+    constructor(private readonly options: TrafficConfigurationReaderOptions) {}
 
+    /** The table in force; `undefined` before the first version. */
     getTable(): RouteTable | undefined {
-        return this.table;
+        return this.table.getVersion() === 0 ? undefined : this.table;
     }
 
-    /** Subscribes to configuration updates on a new link; closes the link if that fails. */
-    async subscribe(link: Link): Promise<void> {
+    /** Whether a newer version has been known for so long that requests must not be served by this one any more. */
+    isBehind(now: number): boolean {
+        return this.pending.length > 0 && now - this.pending[0].announcedAt > MAX_BEHIND_MS;
+    }
+
+    /** Watches the revision of a newly linked member; closes the link if that fails. */
+    async watch(link: Link): Promise<void> {
         try {
-            const answer = await link.call({ kind: "subscribe", since: 0 }) as ControlAnswer;
-            if (answer.kind === "update") {
-                this.apply(answer.update, link);
+            const answer = await link.call({ kind: "watchRevision" }) as ControlAnswer;
+            if (answer.kind === "revision") {
+                this.recordRevision(link, answer.revision);
             }
         }
         catch (error) {
@@ -29,26 +73,121 @@
         }
     }
 
-    /** Applies the traffic configuration in an update if its version is newer. */
-    apply(update: ConfigurationUpdate, link: Link): void {
-        const { receivedBytes } = link.getTraffic();
-        const updateBytes = receivedBytes - (this.receivedBytes.get(link) ?? 0);
-        this.receivedBytes.set(link, receivedBytes);
-        for (const { value } of update.changes) {
-            const version = this.table?.configuration.version ?? 0;
-            if (value?.kind === "traffic" && value.traffic.version > version) {
-                const startedAt = performance.now();
-                this.table = new RouteTable(value.traffic);
-                this.logger.info("configuration-applied", {
-                    version: value.traffic.version,
-                    previous: version,
-                    revision: update.revision,
-                    source: link.peer?.id,
-                    bytes: updateBytes,
-                    buildMs: Math.round(performance.now() - startedAt),
+    /** Records that a member has a revision, and reads the changes if they are new. */
+    recordRevision(link: Link, revision: number): void {
+        const random = this.options.random ?? Math.random;
+        this.sources.set(link, { rank: this.sources.get(link)?.rank ?? random(), revision });
+        if (revision > Math.max(this.revision, this.pending.at(-1)?.revision ?? 0)) {
+            this.pending.push({ revision, announcedAt: performance.now() });
+        }
+        void this.readAll();
+    }
+
+    /** Forgets a closed link. */
+    removeLink(link: Link): void {
+        this.sources.delete(link);
+    }
+
+    /** Ends reading. */
+    close(): void {
+        this.sources.clear();
+    }
+
+    /** Reads until no linked member has announced a newer revision than the one applied. */
+    private async readAll(): Promise<void> {
+        if (this.isReading) {
+            return;
+        }
+        this.isReading = true;
+        for (let link = this.chooseLink(); link !== undefined; link = this.chooseLink()) {
+            if (!this.isPreferred(link) && this.getPreferredWaitMs() > 0) {
+                await wait(Math.min(PREFERRED_POLL_MS, this.getPreferredWaitMs()));
+            }
+            else if (!await this.readFrom(link)) {
+                await wait(RETRY_PAUSE_MS);
+            }
+        }
+        this.isReading = false;
+    }
+
+    /** Chooses among the members that have announced a newer revision than the one applied. */
+    private chooseLink(): Link | undefined {
+        return this.listLinks().find(link => (this.sources.get(link)?.revision ?? 0) > this.revision);
+    }
+
+    private isPreferred(link: Link): boolean {
+        return this.listLinks()[0] === link;
+    }
+
+    /** Lists the open links, the preferred one first. */
+    private listLinks(): Link[] {
+        return [...this.sources].filter(([link]) => link.isOpen())
+            .sort(([, left], [, right]) => right.rank - left.rank)
+            .map(([link]) => link);
+    }
+
+    /** Time left in which the preferred member may still announce the oldest pending revision, in milliseconds. */
+    private getPreferredWaitMs(): number {
+        const { announcedAt } = this.pending[0] ?? { announcedAt: Number.NEGATIVE_INFINITY };
+        return announcedAt + PREFERRED_WAIT_MS - performance.now();
+    }
+
+    /** Reads the changes from a member; resolves with whether it brought any. */
+    private async readFrom(link: Link): Promise<boolean> {
+        const since = this.revision;
+        const startedAt = performance.now();
+        const bytesBefore = link.getTraffic().receivedBytes;
+        try {
+            const call = { kind: "readConfiguration", since, keyPrefix: KEY_PREFIX };
+            const answer = await link.call(call, this.readTimeoutMs) as ControlAnswer;
+            if (answer.kind === "update" && answer.update.revision > since) {
+                this.readTimeoutMs = MIN_READ_TIMEOUT_MS;
+                this.apply(answer.update, link, {
+                    bytes: link.getTraffic().receivedBytes - bytesBefore,
+                    readMs: Math.round(performance.now() - startedAt),
                 });
-                this.onChange(this.table);
+                return true;
             }
         }
+        catch (error) {
+            this.options.logger.warn("configuration-not-read", {
+                source: link.peer?.id,
+                since,
+                message: describeError(error),
+            });
+        }
+        this.readTimeoutMs = Math.min(MAX_READ_TIMEOUT_MS, this.readTimeoutMs * 2);
+        const source = this.sources.get(link);
+        if (source !== undefined) {
+            source.rank--;
+        }
+        return false;
     }
+
+    private apply(update: ConfigurationUpdate, link: Link, cost: { bytes: number; readMs: number }): void {
+        const previous = this.table.getVersion();
+        const now = performance.now();
+        const announcedAt = this.pending[0]?.announcedAt ?? now;
+        this.table.apply(update);
+        this.revision = update.revision;
+        this.pending = this.pending.filter(item => item.revision > update.revision);
+        const version = this.table.getVersion();
+        if (version === previous) {
+            return;
+        }
+        this.options.logger.info("configuration-applied", {
+            version,
+            previous,
+            revision: update.revision,
+            source: link.peer?.id,
+            ...cost,
+            buildMs: Math.round(performance.now() - now),
+            sinceAnnouncedMs: Math.round(now - announcedAt),
+        });
+        this.options.onChange(this.table);
+    }
+}
+
+function wait(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -42,6 +42,10 @@
         meaning: "refused, has not run: the gateway had no configuration yet",
         events: ["started", "control-link-opened", "control-link-closed", "configuration-applied"],
     },
+    "configuration-behind": {
+        meaning: "refused, has not run: the gateway could not read a newer configuration that was in force",
+        events: ["configuration-not-read", "control-link-closed", "control-link-opened", "configuration-applied"],
+    },
     "no-route": {
         meaning: "no route of the configuration in force matches",
         events: [],
--- a/packages/matrix/src/configurationDelivery.steps.ts
+++ b/packages/matrix/src/configurationDelivery.steps.ts
@@ -1,10 +1,17 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { ControlStateMachine, Distributor } from "@kumquathall/control";
+import { ControlStateMachine, Distributor, TrafficPublisher } from "@kumquathall/control";
 import { getTraffic } from "@kumquathall/control-state";
 import { TrafficConfigurationReader } from "@kumquathall/gateway";
 import { encodeFrame, Link, type PeerIdentity } from "@kumquathall/link";
 import { createLogger } from "@kumquathall/logger";
-import { type Command, RequestKind, type TrafficConfiguration, type TrafficRoute } from "@kumquathall/types";
+import {
+    type Command,
+    type ControlCall,
+    RequestKind,
+    type RevisionCast,
+    type TrafficConfiguration,
+    type TrafficRoute,
+} from "@kumquathall/types";
 import { type Clock, install } from "@sinonjs/fake-timers";
 import { deepStrictEqual, match, ok, strictEqual } from "node:assert";
 import { ControlGroup } from "./controlGroup.js";
@@ -27,6 +34,7 @@
 let confirmedAt: Map<number, number>;
 /** When each gateway had each version, or a newer one, in force. */
 let appliedAt: Map<number, number>[] = [];
+let readers: TrafficConfigurationReader[] = [];
 let group: ControlGroup | undefined;
 let oversized: string[] = [];
 
@@ -63,6 +71,8 @@
 
 /** A control member as gateways see it: applies confirmed commands and sends the configuration over its links. */
 class DeliveringMember {
+    /** Whether reads of the configuration get no answer. */
+    isSilent = false;
     readonly vm = createSimulatedVm(MEMBER_BYTES_PER_MS);
     private readonly stateMachine = new ControlStateMachine();
     private readonly distributor = new Distributor(() => this.stateMachine.getState().configuration, logger);
@@ -73,18 +83,38 @@
         return new Link(socket, {
             identity: createIdentity("control", this.id),
             handlers: {
-                onCall: (message, link) => ({
-                    kind: "update",
-                    update: this.distributor.subscribe(link, (message as { since: number }).since),
-                }),
-                onClose: link => this.distributor.unsubscribe(link),
+                onCall: (message, link) => {
+                    const call = message as ControlCall;
+                    if (call.kind === "readConfiguration" && this.isSilent) {
+                        return new Promise(() => undefined);
+                    }
+                    return call.kind === "readConfiguration"
+                        ? this.distributor.read(call.since, call.keyPrefix ?? "")
+                        : this.distributor.watch(link);
+                },
+                onClose: link => this.distributor.removeWatcher(link),
             },
         });
     }
 
     apply(command: Command, index: number): void {
-        this.stateMachine.apply(command, index, 1);
-        this.distributor.schedulePush();
+        strictEqual(this.stateMachine.apply(command, index, 1).kind, "accepted");
+        this.distributor.scheduleAnnouncement();
+    }
+
+    /** Publishes as a member does that has applied the version before. */
+    async publish(): Promise<Command> {
+        let proposed: Command | undefined;
+        const publisher = new TrafficPublisher({
+            stateMachine: this.stateMachine,
+            callLeader: call => {
+                proposed = call.kind === "propose" ? call.command : undefined;
+                return Promise.resolve({ kind: "result", result: { kind: "accepted", revision: traffic.version } });
+            },
+        });
+        await publisher.publish(traffic, JSON.stringify(traffic));
+        ok(proposed !== undefined);
+        return proposed;
     }
 
     close(): void {
@@ -92,13 +122,8 @@
     }
 }
 
-function publish(): void {
-    const command: Command = {
-        kind: "publishTraffic",
-        traffic,
-        document: JSON.stringify(traffic),
-        at: new Date().toISOString(),
-    };
+async function publish(member: DeliveringMember = members[0]): Promise<void> {
+    const command = await member.publish();
     confirmedAt.set(traffic.version, performance.now());
     members.forEach(member => member.apply(structuredClone(command), traffic.version));
 }
@@ -107,9 +132,13 @@
     const vm = createSimulatedVm(bytesPerMs);
     const applied = new Map<number, number>();
     appliedAt.push(applied);
-    const reader = new TrafficConfigurationReader(logger, table => {
-        applied.set(table.configuration.version, performance.now());
+    const gateway = appliedAt.length;
+    const reader = new TrafficConfigurationReader({
+        logger,
+        onChange: table => applied.set(table.getVersion(), performance.now()),
+        random: () => (gateway * 0.37 + links.length * 0.61) % 1,
     });
+    readers.push(reader);
     for (const member of members) {
         const [near, far] = openSimulatedConnection(vm, member.vm);
         links.push(
@@ -117,34 +146,37 @@
             new Link(near, {
                 identity: createIdentity("gateway", `gateway-${appliedAt.length}`),
                 handlers: {
-                    onOpen: link => void reader.subscribe(link),
-                    onCast: (message, link) => reader.apply((message as { update: never }).update, link),
+                    onOpen: link => void reader.watch(link),
+                    onCast: (message, link) => reader.recordRevision(link, (message as RevisionCast).revision),
+                    onClose: link => reader.removeLink(link),
                 },
             }),
         );
     }
 }
 
+async function revokeKey(): Promise<void> {
+    const revoked = traffic.version % traffic.accounts.length;
+    const accounts = traffic.accounts.map((account, at) => at === revoked ? { ...account, keys: [] } : account);
+    traffic = { ...traffic, version: traffic.version + 1, accounts };
+    await publish();
+}
+
 async function revokeKeys(everyMs: number, forMs: number): Promise<void> {
     for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += everyMs) {
-        traffic = {
-            ...traffic,
-            version: traffic.version + 1,
-            accounts: traffic.accounts.map((account, at) =>
-                at === traffic.version % traffic.accounts.length ? { ...account, keys: [] } : account
-            ),
-        };
-        publish();
+        await revokeKey();
         await clock?.tickAsync(everyMs);
     }
     await clock?.tickAsync(SETTLE_MS);
 }
 
 After({ tags: "@configuration-delivery" }, () => {
+    readers.forEach(reader => reader.close());
     links.forEach(link => link.close("end of scenario"));
     members.forEach(member => member.close());
     group?.close();
     group = undefined;
+    readers = [];
     links = [];
     members = [];
     appliedAt = [];
@@ -174,7 +206,7 @@
         confirmedAt = new Map();
         members = Array.from({ length: memberCount }, (_, at) => new DeliveringMember(`control-${at}`));
         traffic = buildTraffic(routes);
-        publish();
+        await publish();
         for (let count = 0; count < gatewayCount; count++) {
             openGateway(megabytes * 1000);
         }
@@ -197,7 +229,7 @@
             version: traffic.version + 1,
             routes: [...traffic.routes, ...buildRoutes(traffic.routes.length, routes)],
         };
-        publish();
+        await publish();
         await clock?.tickAsync(everyMs);
         await revokeKeys(everyMs, seconds * 1000);
     },
@@ -275,7 +307,7 @@
     deepStrictEqual(oversized, []);
     for (const member of group?.members.values() ?? []) {
         const configuration = member.stateMachine?.getState().configuration;
-        strictEqual(configuration === undefined ? 0 : getTraffic(configuration)?.traffic.version, count, member.id);
+        strictEqual(configuration === undefined ? 0 : getTraffic(configuration)?.version, count, member.id);
     }
 });
 
@@ -308,3 +340,112 @@
     match(callError, /exceeds the limit/);
     strictEqual(links[0].isOpen(), false);
 });
+
+Given("the first member does not answer reads", () => {
+    members[0].isSilent = true;
+});
+
+When("a key is revoked", () => revokeKey());
+
+Then("the gateway is behind after {int} ms, but not after {int} ms", async (behindMs: number, servingMs: number) => {
+    await clock?.tickAsync(servingMs);
+    strictEqual(readers[0].isBehind(performance.now()), false);
+    await clock?.tickAsync(behindMs - servingMs);
+    strictEqual(readers[0].isBehind(performance.now()), true);
+});
+
+When("the first member answers reads again", async () => {
+    members[0].isSilent = false;
+    await clock?.tickAsync(SETTLE_MS);
+});
+
+Then("the gateway has version {int} and is not behind", (version: number) => {
+    strictEqual(readers[0].getTable()?.getVersion(), version);
+    strictEqual(readers[0].isBehind(performance.now()), false);
+});
+
+let lagging = "";
+let outcomes: Promise<string>[] = [];
+
+/** Publishes at a member; resolves with "confirmed" or the text of the error. */
+function publishAt(id: string, next: TrafficConfiguration, document: string = JSON.stringify(next)): Promise<string> {
+    const publisher = new TrafficPublisher({
+        stateMachine: getStateMachine(id),
+        callLeader: async call => {
+            const leader = group?.findLeader()?.runtime;
+            ok(call.kind === "propose" && leader !== undefined);
+            return { kind: "result", result: await leader.propose(structuredClone(call.command)) };
+        },
+    });
+    return publisher.publish(next, document).then(() => "confirmed", error => String(error));
+}
+
+function getStateMachine(id: string): ControlStateMachine {
+    const stateMachine = group?.getMember(id).stateMachine;
+    ok(stateMachine !== undefined);
+    return stateMachine;
+}
+
+function hasVersion(id: string, version: number): void {
+    const state = getStateMachine(id).getState();
+    strictEqual(getTraffic(state.configuration)?.version, version, id);
+    strictEqual(state.trafficDocument, JSON.stringify({ ...traffic, version }), id);
+}
+
+Given("a control group of 3 members with version 1", TIMEOUT, async () => {
+    startClock();
+    traffic = buildTraffic(40);
+    outcomes = [];
+    group = new ControlGroup(undefined);
+    await group.start();
+    const published = publishAt(await findLeader(), traffic);
+    await clock?.tickAsync(500);
+    strictEqual(await published, "confirmed");
+});
+
+When("one member publishes version 2 and another version 3 at the same time", async () => {
+    const leader = await findLeader();
+    const other = [...group?.members.keys() ?? []].find(id => id !== leader) ?? "";
+    outcomes = [publishAt(leader, { ...traffic, version: 2 }), publishAt(other, { ...traffic, version: 3 })];
+    await clock?.tickAsync(1000);
+});
+
+Then("both are confirmed, and every member has version 3 with its document", async () => {
+    deepStrictEqual(await Promise.all(outcomes), ["confirmed", "confirmed"]);
+    [...group?.members.keys() ?? []].forEach(id => hasVersion(id, 3));
+});
+
+Given("a member that receives no more entries, but reaches the leader", async () => {
+    const leader = await findLeader();
+    lagging = [...group?.members.keys() ?? []].find(id => id !== leader) ?? "";
+    if (group !== undefined) {
+        group.rule = (_from, to, message) => to === lagging && message.kind === "append" ? [] : [1];
+    }
+});
+
+Given("version 2 is published at the leader", async () => {
+    const published = publishAt(await findLeader(), { ...traffic, version: 2 });
+    await clock?.tickAsync(100);
+    strictEqual(await published, "confirmed");
+});
+
+When("the member publishes version 3", async () => {
+    outcomes = [publishAt(lagging, { ...traffic, version: 3 })];
+    await clock?.tickAsync(1000);
+});
+
+Then("it is confirmed, and the leader has version 3 with its document", async () => {
+    deepStrictEqual(await Promise.all(outcomes), ["confirmed"]);
+    hasVersion(await findLeader(), 3);
+});
+
+When("a version with a document of {int} KB is published", async (kilobytes: number) => {
+    const next = { ...traffic, version: 2 };
+    outcomes = [publishAt(await findLeader(), next, "x".repeat(kilobytes * 1000))];
+    await clock?.tickAsync(100);
+});
+
+Then("it is refused with the limit, and every member has version 1 with its document", async () => {
+    match((await Promise.all(outcomes))[0], /above the limit of \d+; publish it in several versions/);
+    [...group?.members.keys() ?? []].forEach(id => hasVersion(id, 1));
+});
--- a/packages/types/src/command.ts
+++ b/packages/types/src/command.ts
@@ -1,5 +1,5 @@
 /** Commands of the replicated state machine. Its state changes only by applying them. */
-import type { DrainKindValue, FencingNumber, ModelLoad, VmAttributes } from "./configuration.js";
+import type { ConfigurationValue, DrainKindValue, FencingNumber, ModelLoad, VmAttributes } from "./configuration.js";
 import type { ServiceDefinition } from "./service.js";
 import type { TrafficConfiguration } from "./traffic.js";
 
@@ -154,7 +154,10 @@
     at: string;
 }
 
-/** Replaces the traffic configuration if its version is above the one in force; otherwise changes nothing. */
+/**
+ * Replaces the whole traffic configuration if its version is above the one in force; otherwise changes nothing.
+ * {@link ChangeTrafficCommand} does the same at the cost of the difference.
+ */
 export interface PublishTrafficCommand {
     kind: "publishTraffic";
     traffic: TrafficConfiguration;
@@ -163,9 +166,28 @@
     at: string;
 }
 
+/** Parts of a new text: new characters, or a range of the old text in UTF-16 code units. */
+export type TextChange = (string | { from: number; length: number })[];
+
+/**
+ * Changes the traffic configuration from one version to a newer one. Changes nothing if `version` or a newer one is in
+ * force; refused as stale if the version in force is another than `baseVersion`.
+ */
+export interface ChangeTrafficCommand {
+    kind: "changeTraffic";
+    baseVersion: number;
+    version: number;
+    /** Entries of the configuration that differ; `value` is `undefined` for a removed one. */
+    changes: { key: string; value: ConfigurationValue | undefined }[];
+    /** Change of the document as the operator sent it. */
+    document: TextChange;
+    at: string;
+}
+
 export type Command =
     | PublishCommand
     | PublishTrafficCommand
+    | ChangeTrafficCommand
     | RegisterVmCommand
     | LoseVmCommand
     | FormGroupCommand
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -1,6 +1,6 @@
 /** The configuration that control distributes to every entry and agent. */
 import type { ServiceDefinition } from "./service.js";
-import type { TrafficConfiguration } from "./traffic.js";
+import type { CallerLimits, TrafficAccount, TrafficRoute, TrafficService } from "./traffic.js";
 
 /** Revision of a configuration entry: the log index of the command that wrote it. */
 export type Revision = number;
@@ -114,7 +114,10 @@
     | { kind: "vm"; vm: VmRecord }
     | { kind: "drain"; drain: DrainRecord }
     | { kind: "suspect"; suspect: SuspectRecord }
-    | { kind: "traffic"; traffic: TrafficConfiguration; document: string };
+    /** The traffic configuration in force, without its routes and accounts, which are entries of their own. */
+    | { kind: "traffic"; version: number; limits: CallerLimits; services: TrafficService[] }
+    | { kind: "trafficRoute"; route: TrafficRoute }
+    | { kind: "trafficAccount"; account: TrafficAccount };
 
 /** One changed entry; `value` is `undefined` if the entry was removed. */
 export interface ConfigurationChange {
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -29,7 +29,10 @@
 export type ControlCall =
     | { kind: "propose"; command: Command }
     | { kind: "query"; query: ControlQuery }
-    | { kind: "subscribe"; since: Revision }
+    /** Asks for the member's configuration revision, and for a {@link RevisionCast} after each change of it. */
+    | { kind: "watchRevision" }
+    /** Reads the changes after a revision, of all entries or of those whose keys begin with a prefix. */
+    | { kind: "readConfiguration"; since: Revision; keyPrefix?: string }
     /** Asks for membership in the control group. Like `members`, it is answered with the current members. */
     | { kind: "join"; member: string }
     | { kind: "members" }
@@ -51,6 +54,12 @@
         demands: CapacityDemand[];
     };
 
+/** Tells a watching process that the member's configuration has reached a revision; the process reads the changes. */
+export interface RevisionCast {
+    kind: "revision";
+    revision: Revision;
+}
+
 /** An entry's demand for one service's declared capacity. */
 export interface CapacityDemand {
     /** `institution/service`. */
@@ -87,6 +96,7 @@
     | { kind: "members"; members: string[]; gateways: number }
     | { kind: "traffic"; document: string | undefined }
     | { kind: "endpoints"; facts: EndpointFact[] }
+    | { kind: "revision"; revision: Revision }
     | { kind: "update"; update: ConfigurationUpdate }
     | { kind: "status"; status: ControlStatus }
     | { kind: "audit"; records: AuditRecord[] }
--- a/packages/types/src/traffic.ts
+++ b/packages/types/src/traffic.ts
@@ -1,4 +1,4 @@
-/** Traffic configuration: routes, services, limits and accounts in one document, which is replaced as a whole. */
+/** Traffic configuration: routes, services, limits and accounts, which an operator sends as one document. */
 
 /** Whether the requests of a route may run more than once. */
 export const RequestKind = {
