--- a/packages/matrix/src/virtualTime.ts
+++ b/packages/matrix/src/virtualTime.ts
@@ -1,4 +1,4 @@
-import { install } from "@sinonjs/fake-timers";
+import { type FakeMethod, install } from "@sinonjs/fake-timers";
 
 /** Controls the fake clocks and timers of this process. */
 export interface VirtualTime {
@@ -8,22 +8,25 @@
     setWallClock: (ms: number) => void;
 }
 
+/** Timers and clocks that are faked; microtasks and streams run in real turns of the event loop. */
+export const FAKED_TIMERS: FakeMethod[] = [
+    "setTimeout",
+    "clearTimeout",
+    "setInterval",
+    "clearInterval",
+    "setImmediate",
+    "clearImmediate",
+    "performance",
+    "Date",
+];
+
 const START_MS = Date.UTC(2026, 0, 1);
 
 /** Runs a function with fake clocks and timers, and restores the real ones afterwards. */
 export async function runInVirtualTime<Result>(run: (time: VirtualTime) => Promise<Result>): Promise<Result> {
     const clock = install({
         now: START_MS,
-        toFake: [
-            "setTimeout",
-            "clearTimeout",
-            "setInterval",
-            "clearInterval",
-            "setImmediate",
-            "clearImmediate",
-            "performance",
-            "Date",
-        ],
+        toFake: FAKED_TIMERS,
     });
     try {
         return await run({
