Ask for a large configuration again only if its answer makes no progress

Fix: a read is given up only in an interval without progress on its link (heartbeats alone are none); the interval doubles with each read that is given up, and an answer that comes late is used if it still fits.

--- a/packages/gateway/src/trafficConfigurationReader.ts
+++ b/packages/gateway/src/trafficConfigurationReader.ts
@@ -22,9 +22,13 @@
 
 /** Keys of the entries that make up the traffic configuration begin with this. */
 const KEY_PREFIX = "traffic";
-/** Timeout of the first attempt to read, in milliseconds. It doubles with each failure: a large read may need longer. */
-const MIN_READ_TIMEOUT_MS = 700;
-const MAX_READ_TIMEOUT_MS = 8000;
+/** Timeout of a read, in milliseconds. An answer that comes after another member was asked is used if it still fits. */
+const READ_TIMEOUT_MS = 30_000;
+/** Interval in which an answer must make progress, in milliseconds; it doubles with each read that makes none. */
+const MIN_PROGRESS_INTERVAL_MS = 700;
+const MAX_PROGRESS_INTERVAL_MS = 5600;
+/** Bytes received in such an interval that count as progress: more than heartbeats alone. */
+const PROGRESS_BYTES = 1024;
 const RETRY_PAUSE_MS = 100;
 /** How long a read waits for the preferred member to have a revision that another has announced, in milliseconds. */
 const PREFERRED_WAIT_MS = 150;
@@ -45,7 +49,7 @@
     private readonly sources = new Map<Link, Source>();
     /** Announced revisions that are not applied yet, in ascending order. */
     private pending: { revision: number; announcedAt: number }[] = [];
-    private readTimeoutMs = MIN_READ_TIMEOUT_MS;
+    private progressIntervalMs = MIN_PROGRESS_INTERVAL_MS;
     private isReading = false;
 
     constructor(private readonly options: TrafficConfigurationReaderOptions) {}
@@ -76,7 +80,9 @@
     /** Records that a member has a revision, and reads the changes if they are new. */
     recordRevision(link: Link, revision: number): void {
         const random = this.options.random ?? Math.random;
-        this.sources.set(link, { rank: this.sources.get(link)?.rank ?? random(), revision });
+        const source = this.sources.get(link) ?? { revision, rank: random() };
+        source.revision = revision;
+        this.sources.set(link, source);
         if (revision > Math.max(this.revision, this.pending.at(-1)?.revision ?? 0)) {
             this.pending.push({ revision, announcedAt: performance.now() });
         }
@@ -104,6 +110,7 @@
                 await wait(Math.min(PREFERRED_POLL_MS, this.getPreferredWaitMs()));
             }
             else if (!await this.readFrom(link)) {
+                this.recordFailedRead(link);
                 await wait(RETRY_PAUSE_MS);
             }
         }
@@ -126,42 +133,61 @@
             .map(([link]) => link);
     }
 
+    private recordFailedRead(link: Link): void {
+        const source = this.sources.get(link);
+        if (source !== undefined) {
+            source.rank--;
+        }
+    }
+
     /** Time left in which the preferred member may still announce the oldest pending revision, in milliseconds. */
     private getPreferredWaitMs(): number {
         const { announcedAt } = this.pending[0] ?? { announcedAt: Number.NEGATIVE_INFINITY };
         return announcedAt + PREFERRED_WAIT_MS - performance.now();
     }
 
-    /** Reads the changes from a member; resolves with whether it brought any. */
+    /** Reads the changes from a member; resolves with `false` once it has failed or its answer makes no progress. */
     private async readFrom(link: Link): Promise<boolean> {
+        const answered = this.ask(link);
+        for (;;) {
+            const bytesBefore = link.getTraffic().receivedBytes;
+            const outcome = await Promise.race([answered, wait(this.progressIntervalMs)]);
+            if (outcome !== undefined) {
+                return outcome;
+            }
+            if (link.getTraffic().receivedBytes - bytesBefore < PROGRESS_BYTES) {
+                this.options.logger.warn("configuration-not-read", { source: link.peer?.id, message: "no progress" });
+                this.progressIntervalMs = Math.min(MAX_PROGRESS_INTERVAL_MS, this.progressIntervalMs * 2);
+                return false;
+            }
+        }
+    }
+
+    /** Asks a member for the changes and applies its answer; resolves with whether that brought any. */
+    private async ask(link: Link): Promise<boolean> {
         const since = this.revision;
         const startedAt = performance.now();
         const bytesBefore = link.getTraffic().receivedBytes;
         try {
             const call = { kind: "readConfiguration", since, keyPrefix: KEY_PREFIX };
-            const answer = await link.call(call, this.readTimeoutMs) as ControlAnswer;
-            if (answer.kind === "update" && answer.update.revision > since) {
-                this.readTimeoutMs = MIN_READ_TIMEOUT_MS;
+            const answer = await link.call(call, READ_TIMEOUT_MS) as ControlAnswer;
+            if (answer.kind !== "update" || answer.update.revision <= since) {
+                return false;
+            }
+            this.progressIntervalMs = MIN_PROGRESS_INTERVAL_MS;
+            if (since === this.revision) {
                 this.apply(answer.update, link, {
                     bytes: link.getTraffic().receivedBytes - bytesBefore,
                     readMs: Math.round(performance.now() - startedAt),
                 });
-                return true;
             }
+            return true;
         }
         catch (error) {
-            this.options.logger.warn("configuration-not-read", {
-                source: link.peer?.id,
-                since,
-                message: describeError(error),
-            });
-        }
-        this.readTimeoutMs = Math.min(MAX_READ_TIMEOUT_MS, this.readTimeoutMs * 2);
-        const source = this.sources.get(link);
-        if (source !== undefined) {
-            source.rank--;
+            const message = describeError(error);
+            this.options.logger.warn("configuration-not-read", { source: link.peer?.id, since, message });
+            return false;
         }
-        return false;
     }
 
     private apply(update: ConfigurationUpdate, link: Link, cost: { bytes: number; readMs: number }): void {
@@ -188,6 +214,6 @@
     }
 }
 
-function wait(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
+function wait(ms: number): Promise<undefined> {
+    return new Promise(resolve => setTimeout(() => resolve(undefined), ms));
 }
--- a/packages/matrix/src/configurationDelivery.feature
+++ b/packages/matrix/src/configurationDelivery.feature
@@ -19,6 +19,11 @@
         When a key is revoked every 1500 ms for 6 s
         Then each version was in force at every gateway within 2000 ms of its confirmation
 
+    # Guards against timeouts that cause a large answer to be asked for again while it is still under way.
+    Scenario: Gateways that all start at once read a large configuration once each
+        Given 5 control members and 300 gateways with links of 5 MB per second each, and a configuration of 2000 routes
+        Then the gateways have read less than 2 copies of it each
+
     # Guards against requests that run by a configuration that the gateway knows to be superseded.
     Scenario: A gateway that cannot read a newer version stops serving by the older one before 2 s have passed
         Given 1 control members and 1 gateways with links of 5 MB per second each, and a configuration of 40 routes
--- a/packages/matrix/src/configurationDelivery.steps.ts
+++ b/packages/matrix/src/configurationDelivery.steps.ts
@@ -1,6 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { type Clock, install } from "@sinonjs/fake-timers";
-import { deepStrictEqual, strictEqual } from "node:assert";
+import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { DeliverySimulation } from "./deliverySimulation.js";
 import { FAKED_TIMERS } from "./virtualTime.js";
 
@@ -72,6 +72,12 @@
     deepStrictEqual(late, []);
 });
 
+Then("the gateways have read less than {int} copies of it each", (copies: number) => {
+    const { readers } = getSimulation();
+    const perGateway = getSimulation().countReadBytes() / readers.length;
+    ok(perGateway < copies * getSimulation().measureWhole(), `${perGateway} bytes`);
+});
+
 Then("the gateway is behind after {int} ms, but not after {int} ms", async (behindMs: number, servingMs: number) => {
     const [reader] = getSimulation().readers;
     await clock?.tickAsync(servingMs);
--- a/packages/matrix/src/deliverySimulation.ts
+++ b/packages/matrix/src/deliverySimulation.ts
@@ -2,8 +2,10 @@
 import { TrafficConfigurationReader } from "@kumquathall/gateway";
 import { Link, type PeerIdentity } from "@kumquathall/link";
 import { createLogger } from "@kumquathall/logger";
+import { measureRecord } from "@kumquathall/storage";
 import {
     type Command,
+    type ControlAnswer,
     type ControlCall,
     RequestKind,
     type RevisionCast,
@@ -83,7 +85,7 @@
     private readonly stateMachine = new ControlStateMachine();
     private readonly distributor = new Distributor(() => this.stateMachine.getState().configuration, logger);
 
-    constructor(private readonly id: string) {}
+    constructor(private readonly id: string, private readonly onRead: (answer: ControlAnswer) => void) {}
 
     accept(socket: ConstructorParameters<typeof Link>[0]): Link {
         return new Link(socket, {
@@ -117,6 +119,10 @@
         return proposed[0];
     }
 
+    readWhole(): ControlAnswer {
+        return this.distributor.read(0, "traffic");
+    }
+
     close(): void {
         this.distributor.close();
     }
@@ -125,7 +131,12 @@
         if (call.kind !== "readConfiguration") {
             return this.distributor.watch(link);
         }
-        return this.isSilent ? new Promise(() => undefined) : this.distributor.read(call.since, call.keyPrefix ?? "");
+        if (this.isSilent) {
+            return new Promise(() => undefined);
+        }
+        const answer = this.distributor.read(call.since, call.keyPrefix ?? "");
+        this.onRead(answer);
+        return answer;
     }
 }
 
@@ -141,9 +152,16 @@
     /** When each gateway had each version in force. */
     private readonly appliedAt: Map<number, number>[] = [];
     private traffic: TrafficConfiguration;
+    private readBytes = 0;
 
     private constructor(private readonly options: DeliverySimulationOptions) {
-        this.members = Array.from({ length: options.members }, (_, at) => new DeliveringMember(`control-${at}`));
+        const recordRead = (answer: ControlAnswer) => {
+            this.readBytes += measureRecord(answer);
+        };
+        this.members = Array.from(
+            { length: options.members },
+            (_, at) => new DeliveringMember(`control-${at}`, recordRead),
+        );
         this.traffic = buildSimulatedTraffic(options.routes);
     }
 
@@ -207,10 +225,20 @@
         );
     }
 
-    /** Bytes that gateways have received over their links, in all. */
-    countReceivedBytes(): number {
-        const gatewayLinks = this.links.filter(link => link.peer?.role === "control");
-        return gatewayLinks.reduce((sum, link) => sum + link.getTraffic().receivedBytes, 0);
+    /** Forgets the versions published so far. */
+    clearDeliveries(): void {
+        this.confirmedAt.clear();
+        this.readBytes = 0;
+    }
+
+    /** Bytes of all answers to reads since the deliveries were cleared. */
+    countReadBytes(): number {
+        return this.readBytes;
+    }
+
+    /** Bytes of an answer that holds the whole configuration. */
+    measureWhole(): number {
+        return measureRecord(this.members[0].readWhole());
     }
 
     close(): void {
