--- a/packages/control/src/snapshotTransfer.steps.ts
+++ b/packages/control/src/snapshotTransfer.steps.ts
@@ -1,8 +1,10 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { encodeFrame } from "@kumquathall/link";
-import { ok } from "node:assert";
+import { ok, strictEqual } from "node:assert";
 import { listSnapshotParts, type SnapshotPart, SnapshotReceiver } from "./snapshotTransfer.js";
 
+const INDEX = 10;
+
 let data: Buffer;
 let parts: SnapshotPart[] = [];
 let receiver = new SnapshotReceiver();
@@ -14,19 +16,31 @@
     }
 }
 
-Given("a snapshot of {int} bytes", (bytes: number) => {
+function buildParts(bytes: number, index: number): SnapshotPart[] {
     data = Buffer.alloc(bytes, 7);
     data.writeUInt32BE(bytes, bytes - 4);
-    receiver = new SnapshotReceiver();
-    whole = undefined;
-    parts = listSnapshotParts({
+    return listSnapshotParts({
         kind: "snapshot",
         term: 2,
         sentAt: 5,
-        snapshot: { index: 10, term: 1, members: ["a"], data },
+        snapshot: { index, term: 1, members: ["a"], data },
     });
+}
+
+Given("a snapshot of {int} bytes", (bytes: number) => {
+    receiver = new SnapshotReceiver();
+    whole = undefined;
+    parts = buildParts(bytes, INDEX);
+});
+
+When("its first part arrives, and then a newer snapshot of {int} bytes", (bytes: number) => {
+    receiveAll(parts.slice(0, 1));
+    parts = buildParts(bytes, INDEX + 1);
+    receiveAll(parts);
 });
 
+Then("it is the newer one", () => strictEqual(whole?.snapshot.index, INDEX + 1));
+
 When("its parts arrive in order", () => receiveAll(parts));
 
 When("its second part is lost and the snapshot is sent again", () => {
--- a/packages/matrix/src/configurationPublish.feature
+++ b/packages/matrix/src/configurationPublish.feature
@@ -18,6 +18,11 @@
         When a version with a document of 9000 KB is published
         Then it is refused with the limit, and every member has version 1 with its document
 
+    Scenario: A member that is cut off and comes back amid changes has the same configuration as the others
+        Given a control group of 3 members with version 1
+        When versions 2 to 60 are published while one member after the other is cut off and connected again
+        Then every member has version 60 with its document, and all have the same entries
+
     # Guards against appends that are limited by their number of entries only: the frame for a member that had missed
     # several large versions exceeded the limit, and the error ended the leader's process, and that of each successor.
     Scenario: A member that has missed more than one frame holds catches up
--- a/packages/matrix/src/configurationPublish.steps.ts
+++ b/packages/matrix/src/configurationPublish.steps.ts
@@ -13,6 +13,9 @@
 const TIMEOUT = { timeout: 120_000 };
 const ELECTION_MS = 5000;
 const CATCH_UP_MS = 8000;
+const STEP_MS = 1000;
+const VERSIONS_PER_CUT = 4;
+const MAX_ATTEMPTS = 10;
 
 let clock: Clock | undefined;
 let group: ControlGroup | undefined;
@@ -101,10 +104,14 @@
 function publishAt(id: string, next: TrafficConfiguration, document: string = JSON.stringify(next)): Promise<string> {
     const publisher = new TrafficPublisher({
         stateMachine: getStateMachine(id),
-        callLeader: async call => {
+        callLeader: async (call, timeoutMs) => {
             const leader = group?.findLeader()?.runtime;
             ok(call.kind === "propose" && leader !== undefined);
-            return { kind: "result", result: await leader.propose(structuredClone(call.command)) };
+            const proposed = leader.propose(structuredClone(call.command));
+            const expired = new Promise<never>((_resolve, reject) => {
+                setTimeout(() => reject(new Error("not confirmed in time")), timeoutMs);
+            });
+            return { kind: "result", result: await Promise.race([proposed, expired]) };
         },
     });
     return publisher.publish(next, document).then(() => "confirmed", error => String(error));
@@ -209,3 +216,45 @@
     match(callError, /exceeds the limit/);
     strictEqual(links[0].isOpen(), false);
 });
+
+/** Publishes as an operator does, who sends a version again that is not confirmed. */
+async function publishUntilConfirmed(): Promise<void> {
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+        const published = publishAt(await findLeader(), traffic);
+        await clock?.tickAsync(STEP_MS);
+        if (await published === "confirmed") {
+            return;
+        }
+    }
+    throw new Error(`version ${traffic.version} was not confirmed`);
+}
+
+When(
+    "versions {int} to {int} are published while one member after the other is cut off and connected again",
+    TIMEOUT,
+    async (first: number, last: number) => {
+        const ids = [...group?.members.keys() ?? []];
+        for (let version = first; version <= last; version++) {
+            const cut = Math.floor(version / VERSIONS_PER_CUT) % 2 === 0 ? undefined : ids[version % ids.length];
+            if (group !== undefined) {
+                group.rule = (from, to) => from === cut || to === cut ? [] : [1];
+            }
+            const accounts = traffic.accounts.map((account, at) =>
+                at === version % traffic.accounts.length ? { ...account, keys: [`key-of-${version}`] } : account
+            );
+            traffic = { ...traffic, version, accounts, routes: traffic.routes.slice(version % 2) };
+            await publishUntilConfirmed();
+        }
+        if (group !== undefined) {
+            group.rule = () => [1];
+        }
+        await clock?.tickAsync(CATCH_UP_MS);
+    },
+);
+
+Then("every member has version {int} with its document, and all have the same entries", (version: number) => {
+    const ids = [...group?.members.keys() ?? []];
+    ids.forEach(id => hasVersion(id, version));
+    const [entries, ...others] = ids.map(id => getStateMachine(id).getState().configuration.entries.toJS());
+    others.forEach(other => deepStrictEqual(other, entries));
+});
