--- a/packages/entry/src/configurationReader.ts
+++ b/packages/entry/src/configurationReader.ts
@@ -69,14 +69,6 @@
         }
     }
 
-    private applyUpdate(update: ConfigurationUpdate): void {
-        const previous = this.map;
-        this.map = compactMap(applyUpdate(this.map, update), update.revision - REMOVED_KEY_REVISIONS);
-        if (previous !== this.map) {
-            this.options.onChange(update.changes.map(change => change.key));
-        }
-    }
-
     close(): void {
         clearInterval(this.timer);
     }
@@ -117,7 +109,7 @@
         }
     }
 
-    /** Reads from the source until a read brings nothing new; a call during a read causes one more. */
+    /** Reads the changes from the source; a call during a read causes one more read. */
     private async readChanges(): Promise<void> {
         this.mustReadAgain = true;
         if (this.isReading) {
@@ -134,4 +126,12 @@
         }
         this.isReading = false;
     }
+
+    private applyUpdate(update: ConfigurationUpdate): void {
+        const previous = this.map;
+        this.map = compactMap(applyUpdate(this.map, update), update.revision - REMOVED_KEY_REVISIONS);
+        if (previous !== this.map) {
+            this.options.onChange(update.changes.map(change => change.key));
+        }
+    }
 }
