--- a/packages/matrix/src/configurationPublish.steps.ts
+++ b/packages/matrix/src/configurationPublish.steps.ts
@@ -22,6 +22,11 @@
 let links: Link[] = [];
 let traffic: TrafficConfiguration;
 let oversized: string[] = [];
+/** Id of the member that receives no entries. */
+let lagging = "";
+let outcomes: Promise<string>[] = [];
+let closeReason = "";
+let callError = "";
 
 After({ tags: "@configuration-publish" }, () => {
     group?.close();
@@ -97,9 +102,6 @@
     }
 });
 
-let lagging = "";
-let outcomes: Promise<string>[] = [];
-
 /** Publishes at a member; resolves with "confirmed" or the text of the error. */
 function publishAt(id: string, next: TrafficConfiguration, document: string = JSON.stringify(next)): Promise<string> {
     const publisher = new TrafficPublisher({
@@ -187,9 +189,6 @@
     [...group?.members.keys() ?? []].forEach(id => hasVersion(id, 1));
 });
 
-let closeReason = "";
-let callError = "";
-
 Given("two processes with a link", async () => {
     startClock();
     const [near, far] = openSimulatedConnection(createSimulatedVm(5000), createSimulatedVm(5000));
