--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -1,6 +1,7 @@
 import { EndpointRegistry, type EndpointView } from "@kumquathall/endpoint-registry";
 import { listEngineGroups } from "@kumquathall/engine-groups";
 import type { GroupLoad } from "@kumquathall/engine-model";
+import type { Logger } from "@kumquathall/logger";
 import type { EndpointFact, TrafficService } from "@kumquathall/types";
 import { EndpointHealth } from "./endpointHealth.js";
 import { EndpointPool } from "./endpointPool.js";
@@ -14,6 +15,8 @@
     readonly health: EndpointHealth;
     /** Requests that were sent and have not ended. */
     inFlight: Set<SentRequest>;
+    /** Monotonic times at which attempts ended without a complete response, oldest first, in milliseconds. */
+    brokenAt: number[];
     /** Number of requests that ended after the latest report from the engine. */
     endedSinceReport: number;
     /** Monotonic time of the latest response, in milliseconds. */
@@ -33,7 +36,16 @@
     onLost: (reason: string, isEndpointLost: boolean) => void;
 }
 
+export interface EndpointTrackerOptions {
+    getService: (name: string) => TrafficService | undefined;
+    logger: Logger;
+}
+
 const FORGET_AFTER_MS = 60_000;
+/** Number of broken attempts that are kept for each endpoint. */
+const MAX_BROKEN = 64;
+/** Attempts that broke off this long before the loss of their endpoint was reported may have broken off with it. */
+const BROKEN_WITH_LOSS_MS = 2000;
 /** Plain endpoints are skipped after this long without a heartbeat or a response, in milliseconds: five heartbeats. */
 const HEARTBEAT_TIMEOUT_MS = 6000;
 /** Fraction of an endpoint's connections that one gateway may use; several gateways share the endpoint. */
@@ -51,7 +63,7 @@
     /** Heads of complete, open groups, by service and model. */
     private headsByModel = new Map<string, EndpointView[]>();
 
-    constructor(private readonly getService: (name: string) => TrafficService | undefined) {}
+    constructor(private readonly options: EndpointTrackerOptions) {}
 
     record(facts: EndpointFact[], now: number): void {
         for (const fact of facts) {
@@ -105,6 +117,11 @@
         };
     }
 
+    /** Records that an attempt at an endpoint ended without a complete response. */
+    recordBrokenAttempt(endpoint: TrackedEndpoint, now: number): void {
+        endpoint.brokenAt = [...endpoint.brokenAt.slice(1 - MAX_BROKEN), now];
+    }
+
     close(): void {
         for (const endpoint of this.endpoints.values()) {
             endpoint.pool.destroy(new Error("stopping"));
@@ -154,6 +171,14 @@
 
     private dropEndpoint(key: string, endpoint: TrackedEndpoint): void {
         this.endpoints.delete(key);
+        const now = performance.now();
+        const broken = endpoint.brokenAt.filter(at => now - at < BROKEN_WITH_LOSS_MS);
+        this.options.logger.info("endpoint-lost", {
+            endpoint: key,
+            inFlight: endpoint.inFlight.size,
+            brokenBefore: broken.length,
+            sinceBrokenMs: broken.length === 0 ? undefined : Math.round(now - broken[0]),
+        });
         [...endpoint.inFlight].forEach(request => request.onLost("its endpoint is lost", true));
         endpoint.pool.close();
     }
@@ -164,7 +189,7 @@
         if (known !== undefined) {
             return known;
         }
-        const maxConnections = this.getService(view.service)?.maxConnections ?? MIN_CONNECTIONS;
+        const maxConnections = this.options.getService(view.service)?.maxConnections ?? MIN_CONNECTIONS;
         const endpoint: TrackedEndpoint = {
             key,
             view,
@@ -174,6 +199,7 @@
             ),
             health: new EndpointHealth(),
             inFlight: new Set(),
+            brokenAt: [],
             endedSinceReport: 0,
             lastResponseAt: 0,
             avoidUntil: 0,
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -347,7 +347,9 @@
     /** Handles an attempt that was sent, may have run, and has no complete response. */
     private handleIncompleteResponse(attempt: RunningAttempt, reason: string, isEndpointLost: boolean): void {
         this.mayHaveRun = true;
-        attempt.endpoint.health.record(true, performance.now());
+        const now = performance.now();
+        attempt.endpoint.health.record(true, now);
+        this.options.tracker.recordBrokenAttempt(attempt.endpoint, now);
         // Lost endpoints do not count towards the route's limit.
         this.usedEndpoints += isEndpointLost ? 0 : 1;
         this.recordAttempt(attempt, reason);
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -1,4 +1,5 @@
 import { Given, Then, When } from "@cucumber/cucumber";
+import { createLogger } from "@kumquathall/logger";
 import {
     type EndpointFact,
     EngineGroupState,
@@ -154,7 +155,7 @@
 }
 
 Given("a gateway that receives reports of {int} endpoints lost while they ran a request", (count: number) => {
-    tracker = new EndpointTracker(() => undefined);
+    tracker = new EndpointTracker({ getService: () => undefined, logger: createLogger({ write: () => undefined }) });
     for (let at = 0; at < count; at++) {
         tracker.record([{ kind: "crash", fingerprint: computeFingerprintOf("poison"), endpoint: `e${at}@1` }], 0);
     }
@@ -268,7 +269,7 @@
 
 Given("a group of 2 engines that runs a request", () => {
     outcome = "continues";
-    tracker = new EndpointTracker(() => undefined);
+    tracker = new EndpointTracker({ getService: () => undefined, logger: createLogger({ write: () => undefined }) });
     tracker.record([buildMember(0, false, 1), buildMember(1, false, 1)], 0);
     tracker.listGroupHeads("s", "m")[0].inFlight.add({
         sentAt: 0,
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -54,7 +54,7 @@
         const { logger } = context;
         this.stopPlan = planStop(settings.stopWithinMs);
         this.reader = new TrafficConfigurationReader({ logger, onChange: table => this.applyTable(table) });
-        this.tracker = new EndpointTracker(name => this.reader.getTable()?.getService(name));
+        this.tracker = new EndpointTracker({ getService: name => this.reader.getTable()?.getService(name), logger });
         this.forwarder = new Forwarder({
             tracker: this.tracker,
             codec,
