--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -479,6 +479,7 @@
             reportAgeMs: Math.round(performance.now() - attempt.endpoint.view.engineReportedAt),
             sinceSentMs: Math.round(performance.now() - attempt.sent.sentAt),
             lastEventId: this.lastEventId,
+            parts: head.promptParts.length === 0 ? undefined : head.promptParts.join(),
         });
     }
 }
--- a/packages/gateway/src/httpHeaderCodec.ts
+++ b/packages/gateway/src/httpHeaderCodec.ts
@@ -9,6 +9,8 @@
     key: string | undefined;
     model: string | undefined;
     promptTokens: number | undefined;
+    /** Ids of the parts of the prompt that requests share, in order; without the last part, which is the request's own. */
+    promptParts: string[];
     maxAnswerTokens: number | undefined;
     /** The caller's estimate of the response's length. */
     answerTokensHint: number | undefined;
