--- a/packages/crash-evidence/src/crashEvidence.ts
+++ b/packages/crash-evidence/src/crashEvidence.ts
@@ -1,4 +1,5 @@
 import type { CrashedRequest, CrashFact, SurvivalFact } from "@kumquathall/types";
+import { type Candidate, chooseCauses } from "./chooseCauses.js";
 import { formatSubjectKey, listSubjects, type Subject } from "./subject.js";
 
 export interface CrashEvidenceOptions {
@@ -13,6 +14,15 @@
     crashes: string[];
 }
 
+/** A subject that ran at a crash. */
+interface CarriedSubject {
+    subject: Subject;
+    /** Monotonic time of the newest send that carried it, in milliseconds. */
+    sentAt: number;
+    /** Fingerprints of the requests that carried it. */
+    fingerprints: Set<string>;
+}
+
 /** One endpoint process that ended by itself, with all requests that gateways had running on it. */
 interface Crash {
     endpoint: string;
@@ -22,30 +32,10 @@
     /** Monotonic time of the first report, in milliseconds. */
     reportedAt: number;
     requests: Map<string, CrashedRequest>;
-    /** All subjects that its requests carry, by key, with the time of the newest send that carried it. */
-    subjects: Map<string, { subject: Subject; sentAt: number }>;
-}
-
-/** A subject with the crashes that it may have caused. */
-interface Candidate {
-    subject: Subject;
-    key: string;
-    crashes: { crash: Crash; sentAt: number }[];
-    /** Number of crashes, those that may have a common cause counted once. */
-    count: number;
+    /** All subjects that its requests carry, by key. */
+    subjects: Map<string, CarriedSubject>;
 }
 
-/** Crashes after which a subject is quarantined, unless another ran at as many and at some of the same. */
-const CRASHES_TO_QUARANTINE = 3;
-/** Crashes after which subjects that no crash tells apart are quarantined together. */
-const CRASHES_TO_QUARANTINE_TIED = 5;
-/**
- * A loss of power or of a rack ends many endpoints, each of which may be running a copy of the same request. Crashes within
- * this time, in milliseconds, count once if nothing with the subject was sent between them.
- */
-const COMMON_CAUSE_MS = 1000;
-/** Times in reports are compared with this tolerance, in milliseconds. */
-const TOLERANCE_MS = 20;
 /** Time for all gateways to report a crash and the survivals that speak against it, in milliseconds. */
 const SETTLE_MS = 150;
 /** A crash is forgotten after this long, in milliseconds, or when there are more newer ones than the maximum. */
@@ -53,6 +43,8 @@
 const MAX_CRASHES = 128;
 /** Requests that are kept for one crash. */
 const MAX_REQUESTS = 128;
+/** Subjects that are kept for one crash. */
+const MAX_SUBJECTS = 512;
 
 /**
  * Collects crashes and survivals, and decides what has caused the crashes: what ran at the most of them, and has not run
@@ -74,12 +66,11 @@
         const crash = this.crashes.get(fact.endpoint) ?? this.addCrash(fact, now);
         let isNew = false;
         for (const request of fact.requests) {
-            if (!crash.requests.has(request.fingerprint) && crash.requests.size < MAX_REQUESTS) {
+            const isKnown = crash.requests.has(request.fingerprint);
+            if (isKnown || crash.requests.size < MAX_REQUESTS) {
                 crash.requests.set(request.fingerprint, request);
-                isNew = true;
-            }
-            if (crash.requests.has(request.fingerprint)) {
                 recordSend(crash, request);
+                isNew ||= !isKnown;
             }
         }
         return isNew;
@@ -130,42 +121,48 @@
         const verdicts: QuarantineVerdict[] = [];
         const convicted = new Set<string>();
         for (;;) {
-            const found = chooseCauses(this.listCandidates(crashes, convicted));
-            if (found.length === 0) {
+            const causes = chooseCauses(this.listCandidates(crashes, convicted));
+            if (causes.length === 0) {
                 return verdicts;
             }
-            for (const { subject, key, crashes: caused } of found) {
-                convicted.add(key);
+            for (const { subject, id, crashes: caused } of causes) {
+                convicted.add(formatSubjectKey({ subject, id }));
                 verdicts.push({
-                    ...subject,
-                    service: caused[0].crash.service,
-                    crashes: caused.map(({ crash }) => crash.endpoint),
+                    subject,
+                    id,
+                    service: caused[0].service,
+                    crashes: caused.map(crash => crash.endpoint),
                 });
             }
         }
     }
 
-    /** Lists what may have caused crashes that nothing quarantined explains. */
+    /** Lists what may have caused crashes that nothing quarantined explains, and has not run to its end since. */
     private listCandidates(crashes: Crash[], convicted: Set<string>): Candidate[] {
-        const candidates = new Map<string, Candidate>();
+        const candidates = new Map<string, Candidate & { fingerprints: Set<string> }>();
         for (const crash of crashes) {
-            const isExplained = [...crash.subjects].some(([key, { subject }]) =>
-                convicted.has(key) || this.isQuarantined(subject)
+            const causes = [...crash.subjects].flatMap(([key, { subject }]) =>
+                convicted.has(key) || this.isQuarantined(subject) ? subject : []
             );
-            if (isExplained) {
-                continue;
-            }
-            for (const [key, { subject, sentAt }] of crash.subjects) {
-                if (crash.at > (this.survivedAt.get(key) ?? Number.NEGATIVE_INFINITY)) {
-                    const candidate = candidates.get(key) ?? { subject, key, crashes: [], count: 0 };
-                    candidates.set(key, candidate);
-                    candidate.crashes.push({ crash, sentAt });
+            for (const [key, { subject, sentAt, fingerprints }] of crash.subjects) {
+                const survivedAt = this.survivedAt.get(key);
+                if (causes.length > 0 || (survivedAt !== undefined && crash.at <= survivedAt)) {
+                    continue;
                 }
+                const candidate = candidates.get(key) ?? {
+                    ...subject,
+                    crashes: [],
+                    fingerprints: new Set(),
+                    requestCount: 0,
+                    hasSurvived: survivedAt !== undefined,
+                };
+                candidates.set(key, candidate);
+                const { endpoint, service, at } = crash;
+                candidate.crashes.push({ endpoint, service, at, sentAt });
+                fingerprints.forEach(fingerprint => candidate.fingerprints.add(fingerprint));
+                candidate.requestCount = candidate.fingerprints.size;
             }
         }
-        for (const candidate of candidates.values()) {
-            candidate.count = countIndependent(candidate.crashes);
-        }
         return [...candidates.values()];
     }
 
@@ -203,43 +200,15 @@
     }
 }
 
-/** Chooses the candidates with the most crashes, if there are enough of them to tell each from the others. */
-function chooseCauses(candidates: Candidate[]): Candidate[] {
-    const most = candidates.reduce((max, candidate) => Math.max(max, candidate.count), 0);
-    if (most < CRASHES_TO_QUARANTINE) {
-        return [];
-    }
-    const best = candidates.filter(candidate => candidate.count === most);
-    return best.filter(candidate => {
-        const isTied = best.some(other => other !== candidate && hasCommonCrash(other, candidate));
-        return most >= (isTied ? CRASHES_TO_QUARANTINE_TIED : CRASHES_TO_QUARANTINE);
-    });
-}
-
-function hasCommonCrash(left: Candidate, right: Candidate): boolean {
-    return left.crashes.some(({ crash }) => right.crashes.some(other => other.crash === crash));
-}
-
-/** Counts crashes, those that may have a common cause once. */
-function countIndependent(crashes: Candidate["crashes"]): number {
-    let count = 0;
-    let countedAt = Number.NEGATIVE_INFINITY;
-    for (const { crash, sentAt } of [...crashes].sort((left, right) => left.crash.at - right.crash.at)) {
-        if (sentAt > countedAt - TOLERANCE_MS || crash.at - countedAt > COMMON_CAUSE_MS) {
-            count++;
-            countedAt = crash.at;
-        }
-    }
-    return count;
-}
-
 function recordSend(crash: Crash, request: CrashedRequest): void {
     const sentAt = crash.at - request.sentBeforeMs;
     for (const subject of listSubjects(request)) {
         const key = formatSubjectKey(subject);
-        const known = crash.subjects.get(key);
-        if (known === undefined || known.sentAt < sentAt) {
-            crash.subjects.set(key, { subject, sentAt });
+        const carried = crash.subjects.get(key) ?? { subject, sentAt, fingerprints: new Set<string>() };
+        carried.sentAt = Math.max(carried.sentAt, sentAt);
+        carried.fingerprints.add(request.fingerprint);
+        if (crash.subjects.size < MAX_SUBJECTS) {
+            crash.subjects.set(key, carried);
         }
     }
 }
