Hold up to a limit of what a peer sends without an end

Cause: limits counted time, or nothing, where bytes matter.

Why this works: each reader has a limit in bytes, and all responses that one gateway holds have one together; above it the connection is closed, and the attempt counts as incomplete.

--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -7,6 +7,7 @@
     type TrafficRoute,
 } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ByteBudget } from "./byteBudget.js";
 import type { CrashReporter } from "./crashReporter.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
 import { type Attempt, listRawHeaders } from "./endpointPool.js";
@@ -45,6 +46,8 @@
     ageMs: number;
     quarantine: QuarantineList;
     crashReporter: CrashReporter;
+    /** Bytes of responses without events that all requests may hold. */
+    answerBytes: ByteBudget;
     onEnd: () => void;
 }
 
@@ -62,6 +65,10 @@
 const AVOID_AFTER_FAILURE_MS = 500;
 /** Endpoints serve priority 0 first and 9 last. Requests that miss their objective yield to those that can meet it. */
 const LATE_PRIORITY = 8;
+/** Limits of one response without events, of one event, and of what a caller has not read, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const MAX_EVENT_BYTES = 1024 * 1024;
+const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
 const STATUS_MISDIRECTED = 421;
 const FIRST_SERVER_ERROR = 500;
 
@@ -75,6 +82,8 @@
     status: number;
     headers: Record<string, string | string[] | undefined>;
     chunks: Buffer[];
+    /** Bytes of `chunks`. */
+    heldBytes: number;
 }
 
 /** Forwards one request, whose body is complete, until the caller has its final response. */
@@ -209,6 +218,7 @@
             status: 0,
             headers: {},
             chunks: [],
+            heldBytes: 0,
             handle: { abort: () => undefined },
         };
         this.attempt = attempt;
@@ -278,7 +288,7 @@
         attempt.sent.hasStarted = true;
         if (!this.isStream(attempt)) {
             this.recordFirstContent(attempt);
-            attempt.chunks.push(chunk);
+            this.storeChunk(attempt, chunk);
             return;
         }
         for (const event of attempt.parser.push(chunk)) {
@@ -289,6 +299,25 @@
             this.lastEventId = event.id ?? this.lastEventId;
             this.options.response.write(event.bytes);
         }
+        if (attempt.parser.getIncompleteBytes().length > MAX_EVENT_BYTES) {
+            this.abandon(attempt, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
+        }
+        else if (this.options.response.writableLength > MAX_UNREAD_BYTES) {
+            this.abortUnfinished(attempt);
+            this.finishWithoutResponse(RefusalCause.CallerBehind);
+        }
+    }
+
+    /** Holds a part of a response without events, which is delivered as a whole. */
+    private storeChunk(attempt: RunningAttempt, chunk: Buffer): void {
+        const isWithinLimit = attempt.heldBytes + chunk.length <= MAX_ANSWER_BYTES;
+        if (!isWithinLimit || !this.options.answerBytes.take(chunk.length)) {
+            const limit = isWithinLimit ? "all responses together may hold" : "a response may hold";
+            this.abandon(attempt, `the response has more bytes than ${limit}`);
+            return;
+        }
+        attempt.heldBytes += chunk.length;
+        attempt.chunks.push(chunk);
     }
 
     private recordFirstContent(attempt: RunningAttempt): void {
@@ -452,6 +481,8 @@
 
     private release(attempt: RunningAttempt): void {
         this.attempt = undefined;
+        this.options.answerBytes.release(attempt.heldBytes);
+        attempt.heldBytes = 0;
         clearTimeout(this.stallTimer);
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
             attempt.endpoint.endedSinceReport++;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "@kumquathall/logger";
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { ByteBudget } from "./byteBudget.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointTracker } from "./endpointTracker.js";
 import { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
@@ -37,11 +38,15 @@
     retryRatio: number;
 }
 
+/** Bytes of responses without events that are held for all requests. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
 /** Accepts callers' requests: finds the route and the account, reads the body and starts forwarding. */
 export class Forwarder {
     private readonly active = new Set<ForwardedRequest>();
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBiasEstimator();
+    private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
     private readonly ages = new RequestAgeEstimator();
     private isTrafficSeen = false;
 
@@ -120,6 +125,7 @@
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
         readBody(request, { maxBytes, timeoutMs }, outcome => {
             if (outcome.kind === "tooLarge") {
+                response.setHeader("connection", "close");
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
                 return;
             }
@@ -151,6 +157,7 @@
                 ageMs: head.deadlineMs === undefined ? 0 : this.ages.estimateAgeMs(route.name, head.deadlineMs),
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
+                answerBytes: this.answerBytes,
                 onEnd: () => {
                     this.active.delete(forwarded);
                     metrics.active.set(this.active.size);
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -27,6 +27,8 @@
     NoRoom: { name: "no-room", status: 503, retryAfterMs: 1000 },
     NotInTime: { name: "not-in-time", status: 503, retryAfterMs: 1000 },
     EndpointFailed: { name: "endpoint-failed", status: 502 },
+    /** The caller does not read a response that has started. */
+    CallerBehind: { name: "caller-behind", status: 502 },
     Timeout: { name: "timeout", status: 504 },
 } as const satisfies Record<string, Refusal>;
 
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -70,6 +70,7 @@
         meaning: "may have run: no complete answer before its deadline",
         events: ["engine-lost", "engine-order"],
     },
+    "caller-behind": { meaning: "the caller did not read its answer", events: [] },
     "caller-gone": { meaning: "the caller disconnected", events: [] },
 };
 
