Take a stream that ends before its first event, without a length, for broken off

What callers would see: an endpoint whose process ends as it begins a stream closes its connection; without a length or chunks this looked like the end of an empty stream, which the caller got as a whole answer. It also counted as a survival of the request.

Cause: a response without a length ends with its connection, and the gateway took any end outside an event for the last one.

A resumed stream may still have no further event.

--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -340,6 +340,11 @@
                 this.handleIncompleteResponse(attempt, "the stream ends inside an event", false);
                 return;
             }
+            const hasContent = attempt.sent.firstContentAt !== undefined || this.lastEventId !== undefined;
+            if (!hasContent && !hasFraming(attempt.headers)) {
+                this.handleIncompleteResponse(attempt, "the stream ended before its first event", false);
+                return;
+            }
             this.writeHeadOnce(attempt);
             attempt.endpoint.health.record(false, performance.now());
             this.reportSurvival(attempt);
@@ -445,7 +450,7 @@
                 crashReporter.reportSurvival(head.promptParts, () => this.describe(), performance.now());
             }
         };
-        if (attempt.headers["content-length"] !== undefined || attempt.headers["transfer-encoding"] !== undefined) {
+        if (hasFraming(attempt.headers)) {
             report();
             return;
         }
@@ -574,3 +579,8 @@
         });
     }
 }
+
+/** Whether a response says where it ends; otherwise it ends with its connection. */
+function hasFraming(headers: RunningAttempt["headers"]): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
