--- a/packages/control/src/quarantineTask.ts
+++ b/packages/control/src/quarantineTask.ts
@@ -93,7 +93,7 @@
         const verdicts = this.evidence.decide(now);
         this.hasNewEvidence = this.evidence.hasUnsettled(now);
         for (const verdict of verdicts) {
-            await this.propose(verdict);
+            await this.proposeRecord(verdict);
         }
         this.isDeciding = false;
     }
@@ -101,7 +101,8 @@
     /** Follows the replicated records; what has been released must be seen at new crashes to be quarantined again. */
     private refreshQuarantined(): void {
         const { configuration } = this.options.stateMachine.getState();
-        if (configuration.revision === this.revision) {
+        const isUnused = this.evidence.countCrashes() === 0 && this.quarantined.size === 0;
+        if (configuration.revision === this.revision || isUnused) {
             return;
         }
         this.revision = configuration.revision;
@@ -122,7 +123,8 @@
         this.quarantined = current;
     }
 
-    private async propose(verdict: QuarantineVerdict): Promise<void> {
+    /** Proposes a record; if that fails, the evidence is judged again. */
+    private async proposeRecord(verdict: QuarantineVerdict): Promise<void> {
         const { subject, id, service, crashes } = verdict;
         const at = new Date().toISOString();
         try {
