--- a/packages/gateway/src/crashReports.feature
+++ b/packages/gateway/src/crashReports.feature
@@ -28,6 +28,12 @@
             | refuses | bad      |
             | accepts | none     |
 
+    # Guards against bodies that stay in memory as long as an endpoint lives.
+    Scenario: What is kept of attempts that broke off is small
+        Given an endpoint without a sidecar that accepts connections
+        When 1000 requests break off there
+        Then traits of 64 of them are kept, and not the requests themselves
+
     Scenario: A quarantined request is refused, and others are not
         Given the gateway has read that the request "bad" is quarantined after 3 crashes
         Then the request "bad" is refused with "request bad is quarantined: 3 endpoints ended while they ran it"
--- a/packages/gateway/src/crashReports.steps.ts
+++ b/packages/gateway/src/crashReports.steps.ts
@@ -10,7 +10,7 @@
 } from "@kumquathall/types";
 import { deepStrictEqual, notStrictEqual, strictEqual } from "node:assert";
 import { CrashReporter } from "./crashReporter.js";
-import { EndpointTracker, type SentRequest, type TrackedEndpoint } from "./endpointTracker.js";
+import { type BrokenAttempt, EndpointTracker, type SentRequest, type TrackedEndpoint } from "./endpointTracker.js";
 import { computeFingerprint } from "./fingerprint.js";
 import { describeQuarantine, QuarantineList } from "./quarantineList.js";
 
@@ -68,6 +68,14 @@
     };
 }
 
+function buildBroken(fingerprint: string, at: number): BrokenAttempt {
+    return {
+        at,
+        progress: { sentAt: at, headAt: undefined, firstContentAt: undefined },
+        request: { fingerprint, parts: [] },
+    };
+}
+
 function record(...facts: EndpointFact[]): void {
     tracker.record(facts, performance.now());
 }
@@ -98,8 +106,8 @@
         endpoint.inFlight.add(buildSent(waiting, 0));
         const now = performance.now();
         endpoint.broken = [
-            { at: now - earlyMs, sent: buildSent(early, now - earlyMs) },
-            { at: now - lateMs, sent: buildSent(late, now - lateMs) },
+            buildBroken(early, now - earlyMs),
+            buildBroken(late, now - lateMs),
         ];
     },
 );
@@ -140,6 +148,23 @@
     await new Promise(resolve => setTimeout(resolve, CHECK_MS));
 });
 
+When("{int} requests break off there", (count: number) => {
+    for (let at = 0; at < count; at++) {
+        tracker.recordBrokenAttempt(endpoint, buildSent(`r${at}`, performance.now()));
+    }
+});
+
+Then("traits of {int} of them are kept, and not the requests themselves", (count: number) => {
+    strictEqual(endpoint.broken.length, count);
+    endpoint.broken.forEach(attempt => deepStrictEqual(Object.keys(attempt).sort(), ["at", "progress", "request"]));
+    const functions = endpoint.broken.filter(({ progress }) => Object.values(progress).some(isFunction));
+    strictEqual(functions.length, 0);
+});
+
+function isFunction(value: unknown): boolean {
+    return typeof value === "function";
+}
+
 Then("a crash is reported with the requests {string}", (names: string) => {
     const reported = sent.flatMap(fact => fact.kind === "crash" ? fact.requests.map(item => item.fingerprint) : []);
     deepStrictEqual(reported, names === "none" ? [] : listNames(names));
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -38,19 +38,25 @@
 
 /** An attempt that ended without a complete response. */
 export interface BrokenAttempt {
-    /** Monotonic times in milliseconds. */
+    /** Monotonic time in milliseconds. */
     at: number;
-    sent: SentRequest;
+    progress: AttemptProgress;
+    request: RequestTraits;
 }
 
-/** One request in flight. */
-export interface SentRequest {
+/** How far an attempt has come: monotonic times in milliseconds. */
+export interface AttemptProgress {
     sentAt: number;
-    promptTokens: number;
-    hasStarted: boolean;
-    /** Monotonic times at which the response began and its first content arrived, in milliseconds. */
+    /** The response began. */
     headAt: number | undefined;
+    /** The first content of the response arrived. */
     firstContentAt: number | undefined;
+}
+
+/** One request in flight. */
+export interface SentRequest extends AttemptProgress {
+    promptTokens: number;
+    hasStarted: boolean;
     describe: () => RequestTraits;
     /** Called when the request cannot complete, because the endpoint (`isEndpointLost`) or only its group is lost. */
     onLost: (reason: string, isEndpointLost: boolean) => void;
@@ -163,7 +169,12 @@
 
     /** Records that an attempt at an endpoint ended without a complete response. */
     recordBrokenAttempt(endpoint: TrackedEndpoint, sent: SentRequest): void {
-        endpoint.broken = [...endpoint.broken.slice(1 - MAX_BROKEN), { at: performance.now(), sent }];
+        const at = performance.now();
+        const { sentAt, headAt, firstContentAt } = sent;
+        // Only traits are kept: the request itself may hold a large body.
+        const attempt = { at, progress: { sentAt, headAt, firstContentAt }, request: sent.describe() };
+        const recent = endpoint.broken.filter(item => at - item.at < BROKEN_WITH_LOSS_MS);
+        endpoint.broken = [...recent.slice(1 - MAX_BROKEN), attempt];
         if (!endpoint.view.isObserved && !this.checks.has(endpoint)) {
             this.checks.set(endpoint, setTimeout(() => void this.checkProcess(endpoint), CHECK_AFTER_MS));
         }
@@ -263,10 +274,14 @@
             sinceBrokenMs: broken.length === 0 ? undefined : Math.round(now - at),
         });
         const beginsEarly = (this.headLeadMs.get(endpoint.view.service) ?? 0) > EARLY_HEAD_MS;
-        const requests = [...broken.map(attempt => attempt.sent), ...inFlight].map(sent => ({
-            ...sent.describe(),
-            sentBeforeMs: at - sent.sentAt,
-            stage: computeStage(sent, at, beginsEarly),
+        const attempts: Omit<BrokenAttempt, "at">[] = [
+            ...broken,
+            ...inFlight.map(sent => ({ progress: sent, request: sent.describe() })),
+        ];
+        const requests = attempts.map(({ progress, request }) => ({
+            ...request,
+            sentBeforeMs: at - progress.sentAt,
+            stage: computeStage(progress, at, beginsEarly),
         }));
         return { endpoint: endpoint.key, service: endpoint.view.service, at, requests };
     }
@@ -309,9 +324,9 @@
  * Computes how far an attempt had come at the time of a crash. That a response has begun tells something only if
  * endpoints begin it as they begin to run the request (`beginsEarly`), rather than with its first content.
  */
-function computeStage(sent: SentRequest, at: number, beginsEarly: boolean): AttemptStageValue {
-    const contentMs = sent.firstContentAt === undefined ? 0 : at - sent.firstContentAt;
-    if (beginsEarly && sent.headAt !== undefined && contentMs < STARTING_MS) {
+function computeStage(progress: AttemptProgress, at: number, beginsEarly: boolean): AttemptStageValue {
+    const contentMs = progress.firstContentAt === undefined ? 0 : at - progress.firstContentAt;
+    if (beginsEarly && progress.headAt !== undefined && contentMs < STARTING_MS) {
         return AttemptStage.Starting;
     }
     return contentMs < RUNNING_AFTER_MS ? AttemptStage.Unknown : AttemptStage.Running;
