--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,11 +1,5 @@
 import type { Logger } from "@kumquathall/logger";
-import {
-    RequestKind,
-    type RequestTraits,
-    type SuspectRecord,
-    type TrafficAccount,
-    type TrafficRoute,
-} from "@kumquathall/types";
+import { RequestKind, type SuspectRecord, type TrafficAccount, type TrafficRoute } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ByteBudget } from "./byteBudget.js";
 import type { CrashReporter } from "./crashReporter.js";
@@ -13,12 +7,13 @@
 import { type Attempt, listRawHeaders } from "./endpointPool.js";
 import type { EndpointTracker, SentRequest, TrackedEndpoint } from "./endpointTracker.js";
 import { EventStreamParser } from "./eventStreamParser.js";
-import { computeFingerprint } from "./fingerprint.js";
 import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
+import { HeldAnswer } from "./heldAnswer.js";
 import type { HttpHeaderCodec, RequestHead, ResponseHead } from "./httpHeaderCodec.js";
 import type { GatewayMetrics } from "./metrics.js";
 import { describeQuarantine, formatSuspect, type QuarantineList } from "./quarantineList.js";
 import { type Refusal, RefusalCause, refuse } from "./refusal.js";
+import { RequestSubjects } from "./requestSubjects.js";
 import { RequestTiming } from "./requestTiming.js";
 import type { RouteTable } from "./routeTable.js";
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
@@ -59,14 +54,11 @@
 const MAX_REJECTIONS = 3;
 /** A request is not sent again after this many endpoints were lost while they ran it. */
 const MAX_LOST_ENDPOINTS = 3;
-/** Time in which an endpoint's loss is reported, in milliseconds; see {@link ForwardedRequest.reportSurvival}. */
-const LOSS_REPORT_MS = 1000;
 /** An endpoint that refused a connection or stalled gets no new requests for this long, in milliseconds. */
 const AVOID_AFTER_FAILURE_MS = 500;
 /** Endpoints serve priority 0 first and 9 last. Requests that miss their objective yield to those that can meet it. */
 const LATE_PRIORITY = 8;
-/** Limits of one response without events, of one event, and of what a caller has not read, in bytes. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Limits of one event and of what a caller has not read, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
 const STATUS_MISDIRECTED = 421;
@@ -81,9 +73,7 @@
     responseHead: ResponseHead | undefined;
     status: number;
     headers: Record<string, string | string[] | undefined>;
-    chunks: Buffer[];
-    /** Bytes of `chunks`. */
-    heldBytes: number;
+    answer: HeldAnswer;
 }
 
 /** Forwards one request, whose body is complete, until the caller has its final response. */
@@ -93,7 +83,7 @@
     /** Endpoints that may have run the request, not counting those that were lost while they ran it. */
     private usedEndpoints = 0;
     private lostEndpoints = 0;
-    private fingerprint: string | undefined;
+    private readonly subjects: RequestSubjects;
     /** Record of the quarantine by which the request is refused. */
     private quarantineRecord: SuspectRecord | undefined;
     private rejections = 0;
@@ -115,6 +105,15 @@
     constructor(private readonly options: ForwardedRequestOptions) {
         const { head, route, arrivedAt, response } = options;
         this.chooser = new EndpointChooser(options);
+        this.subjects = new RequestSubjects({
+            account: options.account?.name,
+            method: options.request.method ?? "",
+            path: options.request.url ?? "",
+            body: options.body,
+            promptParts: head.promptParts,
+            quarantine: options.quarantine,
+            crashReporter: options.crashReporter,
+        });
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.lastEventId = head.lastEventId;
         this.deadlineTimer = setTimeout(() => this.handleDeadline(), this.timing.getRemainingMs(performance.now()));
@@ -126,21 +125,6 @@
         this.sendNext();
     }
 
-    private getFingerprint(): string {
-        const { account, request, body } = this.options;
-        this.fingerprint ??= computeFingerprint(account?.name, request.method ?? "", request.url ?? "", body);
-        return this.fingerprint;
-    }
-
-    private findQuarantine(): SuspectRecord | undefined {
-        const { quarantine, head } = this.options;
-        return quarantine.findRecord(head.promptParts, () => this.getFingerprint());
-    }
-
-    private describe(): RequestTraits {
-        return { fingerprint: this.getFingerprint(), parts: this.options.head.promptParts };
-    }
-
     private isRepeatable(): boolean {
         const { kind, isResumable } = this.options.route;
         return kind === RequestKind.Idempotent || (kind === RequestKind.Streaming && isResumable);
@@ -152,7 +136,7 @@
         if (this.isFinished) {
             return;
         }
-        this.quarantineRecord = this.findQuarantine();
+        this.quarantineRecord = this.subjects.findQuarantine();
         if (this.quarantineRecord !== undefined) {
             const detail = describeQuarantine(this.quarantineRecord);
             this.finishWithoutResponse({ ...RefusalCause.Quarantined, detail });
@@ -200,7 +184,7 @@
             hasStarted: false,
             headAt: undefined,
             firstContentAt: undefined,
-            describe: () => this.describe(),
+            describe: () => this.subjects.describe(),
             onLost: (reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost),
         };
         const headers = codec.encodeForwardedRequest(listRawHeaders(request.rawHeaders), {
@@ -217,8 +201,7 @@
             responseHead: undefined,
             status: 0,
             headers: {},
-            chunks: [],
-            heldBytes: 0,
+            answer: new HeldAnswer(this.options.answerBytes),
             handle: { abort: () => undefined },
         };
         this.attempt = attempt;
@@ -288,7 +271,9 @@
         attempt.sent.hasStarted = true;
         if (!this.isStream(attempt)) {
             this.recordFirstContent(attempt);
-            this.storeChunk(attempt, chunk);
+            if (!attempt.answer.add(chunk)) {
+                this.abandon(attempt, "the response has more bytes than may be held");
+            }
             return;
         }
         for (const event of attempt.parser.push(chunk)) {
@@ -308,18 +293,6 @@
         }
     }
 
-    /** Holds a part of a response without events, which is delivered as a whole. */
-    private storeChunk(attempt: RunningAttempt, chunk: Buffer): void {
-        const isWithinLimit = attempt.heldBytes + chunk.length <= MAX_ANSWER_BYTES;
-        if (!isWithinLimit || !this.options.answerBytes.take(chunk.length)) {
-            const limit = isWithinLimit ? "all responses together may hold" : "a response may hold";
-            this.abandon(attempt, `the response has more bytes than ${limit}`);
-            return;
-        }
-        attempt.heldBytes += chunk.length;
-        attempt.chunks.push(chunk);
-    }
-
     private recordFirstContent(attempt: RunningAttempt): void {
         if (attempt.sent.firstContentAt === undefined) {
             this.options.tracker.recordFirstContent(attempt.endpoint, attempt.sent, performance.now());
@@ -347,14 +320,14 @@
             }
             this.writeHeadOnce(attempt);
             attempt.endpoint.health.record(false, performance.now());
-            this.reportSurvival(attempt);
+            this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
             this.finish(attempt.status, "served", () => this.options.response.end());
             return;
         }
         this.usedEndpoints++;
         this.mayHaveRun = true;
         attempt.endpoint.health.record(attempt.status >= FIRST_SERVER_ERROR, performance.now());
-        this.reportSurvival(attempt);
+        this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
         if (attempt.status >= FIRST_SERVER_ERROR && this.firstByteAt === undefined && this.canRepeat()) {
             this.recordAttempt(attempt, "endpoint-error");
             this.sendNext();
@@ -442,21 +415,6 @@
             && this.timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS && this.options.budget.takeRetry();
     }
 
-    /** Reports that the endpoint has completed the request. Without a length, a crash may have ended the response. */
-    private reportSurvival(attempt: RunningAttempt): void {
-        const report = () => {
-            if (!attempt.endpoint.hasEnded) {
-                const { crashReporter, head } = this.options;
-                crashReporter.reportSurvival(head.promptParts, () => this.describe(), performance.now());
-            }
-        };
-        if (hasFraming(attempt.headers)) {
-            report();
-            return;
-        }
-        setTimeout(report, LOSS_REPORT_MS).unref();
-    }
-
     private isStream(attempt: RunningAttempt): boolean {
         return this.options.route.kind === RequestKind.Streaming && attempt.status === 200;
     }
@@ -475,7 +433,7 @@
 
     private deliverResponse(attempt: RunningAttempt): void {
         const { response, codec } = this.options;
-        const body = Buffer.concat(attempt.chunks);
+        const body = attempt.answer.getBody();
         this.firstByteAt = performance.now();
         this.finish(attempt.status, "served", () => {
             const headers = codec.encodeResponse(attempt.headers);
@@ -486,8 +444,7 @@
 
     private release(attempt: RunningAttempt): void {
         this.attempt = undefined;
-        this.options.answerBytes.release(attempt.heldBytes);
-        attempt.heldBytes = 0;
+        attempt.answer.close();
         clearTimeout(this.stallTimer);
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
             attempt.endpoint.endedSinceReport++;
