--- a/packages/crash-evidence/src/chooseCauses.ts
+++ b/packages/crash-evidence/src/chooseCauses.ts
@@ -58,11 +58,11 @@
  * `crashTimes` are the times of all crashes that nothing quarantined explains.
  */
 export function chooseCauses(candidates: Candidate[], crashTimes: number[]): Candidate[] {
-    const likelier = listEndpointsOfNewParts(candidates);
+    const endpointsOfNewParts = listEndpointsOfNewParts(candidates);
     const counted = candidates.map(candidate => {
         // What has run to its end before is the cause only of crashes at which no newly suspected part ran.
         const crashes = candidate.hasSurvived
-            ? candidate.crashes.filter(crash => !likelier.has(crash.endpoint))
+            ? candidate.crashes.filter(crash => !endpointsOfNewParts.has(crash.endpoint))
             : candidate.crashes;
         return countCrashes({ ...candidate, crashes }, crashTimes);
     });
--- a/packages/crash-evidence/src/crashEvidence.ts
+++ b/packages/crash-evidence/src/crashEvidence.ts
@@ -128,16 +128,16 @@
         this.expire(now);
         const crashes = [...this.crashes.values()].filter(crash => now - crash.reportedAt >= SETTLE_MS);
         const verdicts: QuarantineVerdict[] = [];
-        const convicted = new Set<string>();
+        const decided = new Set<string>();
         for (;;) {
-            const unexplained = crashes.filter(crash => this.listKnownCauses(crash, convicted).length === 0);
-            const candidates = this.listCandidates(crashes, convicted);
+            const unexplained = crashes.filter(crash => this.listKnownCauses(crash, decided).length === 0);
+            const candidates = this.listCandidates(crashes, decided);
             const causes = chooseCauses(candidates, unexplained.map(crash => crash.at));
             if (causes.length === 0) {
                 return verdicts;
             }
             for (const { subject, id, crashes: caused } of causes) {
-                convicted.add(formatSubjectKey({ subject, id }));
+                decided.add(formatSubjectKey({ subject, id }));
                 verdicts.push({
                     subject,
                     id,
@@ -149,10 +149,10 @@
     }
 
     /** Lists what may have caused crashes that nothing quarantined explains, and has not run to its end since. */
-    private listCandidates(crashes: Crash[], convicted: Set<string>): Candidate[] {
+    private listCandidates(crashes: Crash[], decided: Set<string>): Candidate[] {
         const candidates = new Map<string, CandidateWithRequests>();
         for (const crash of crashes) {
-            const causes = this.listKnownCauses(crash, convicted);
+            const causes = this.listKnownCauses(crash, decided);
             for (const [key, { subject, sentAt, fingerprints, isStarting }] of listSuspects(crash)) {
                 const survivedAt = this.survivedAt.get(key);
                 const hasSurvived = survivedAt !== undefined;
@@ -181,9 +181,9 @@
     }
 
     /** Lists what is quarantined, or about to be, and ran at a crash. */
-    private listKnownCauses(crash: Crash, convicted: Set<string>): Subject[] {
+    private listKnownCauses(crash: Crash, decided: Set<string>): Subject[] {
         return listSuspects(crash).flatMap(([key, { subject }]) =>
-            convicted.has(key) || this.isQuarantined(subject) ? subject : []
+            decided.has(key) || this.isQuarantined(subject) ? subject : []
         );
     }
 
