Let a caller read the refusal of a body that goes on before its connection is closed

What callers could see: a reset in place of 413, since a connection that is closed while bytes arrive is reset.

Cause: 'Connection: close' closes the connection as soon as the response is written. Now as many bytes as the limit are discarded, the rest is not read, and the connection is closed after 500 ms unless the body has ended.

--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -38,6 +38,8 @@
     retryRatio: number;
 }
 
+/** Time for a caller to read the refusal of a request whose body goes on, in milliseconds. */
+const CLOSE_AFTER_MS = 500;
 /** Bytes of responses without events that are held for all requests. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
@@ -125,8 +127,8 @@
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
         readBody(request, { maxBytes, timeoutMs }, outcome => {
             if (outcome.kind === "tooLarge") {
-                response.setHeader("connection", "close");
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
+                closeUnlessComplete(request, maxBytes);
                 return;
             }
             if (outcome.kind === "late") {
@@ -180,3 +182,22 @@
         return budget;
     }
 }
+
+/**
+ * Closes the connection of a refused request whose body goes on. A connection that is closed while bytes arrive is reset,
+ * and the caller may not get the refusal; so up to `maxBytes` more are discarded, and it is closed after a while.
+ */
+function closeUnlessComplete(request: IncomingMessage, maxBytes: number): void {
+    let discarded = 0;
+    request.on("data", (chunk: Buffer) => {
+        discarded += chunk.length;
+        if (discarded > maxBytes) {
+            request.pause();
+        }
+    });
+    setTimeout(() => {
+        if (!request.complete) {
+            request.socket.destroy();
+        }
+    }, CLOSE_AFTER_MS).unref();
+}
