Restore the check that a crash reported twice counts once among others

The same endpoints and counts are back, and that a report made twice does not make up for a third crash. Both pass on the code as it is.

--- a/packages/crash-evidence/src/crashEvidence.feature
+++ b/packages/crash-evidence/src/crashEvidence.feature
@@ -18,6 +18,16 @@
         Then the evidence leads to the quarantine of ""
         And 2 crashes are stored
 
+    Scenario: A crash that is reported twice counts once among others
+        Given "poison" ran at the crashes of these endpoints, in turn: "a@1, b@1, a@1, c@2"
+        Then "poison" ran at 3 stored crashes and "other" at 0
+        And the evidence leads to the quarantine of "poison"
+
+    Scenario: A crash that is reported twice does not make up for a third one
+        Given "poison" ran at the crashes of these endpoints, in turn: "a@1, b@1, a@1"
+        Then "poison" ran at 2 stored crashes and "other" at 0
+        And the evidence leads to the quarantine of ""
+
     Scenario: What gateways report of one crash is merged
         Given the requests "sound" ran at 3 crashes, one every 1000 ms
         And each crash is reported by another gateway with the requests "bad"
--- a/packages/crash-evidence/src/crashEvidence.steps.ts
+++ b/packages/crash-evidence/src/crashEvidence.steps.ts
@@ -59,6 +59,25 @@
     },
 );
 
+Given("{string} ran at the crashes of these endpoints, in turn: {string}", (name: string, names: string) => {
+    for (const endpoint of listNames(names)) {
+        now += SETTLED_MS;
+        recordCrash([name], endpoint);
+    }
+});
+
+function countCrashesOf(fingerprint: string): number {
+    return evidence.listFacts(now).filter(fact => fact.requests.some(item => item.fingerprint === fingerprint)).length;
+}
+
+Then(
+    "{string} ran at {int} stored crashes and {string} at {int}",
+    (first: string, count: number, second: string, secondCount: number) => {
+        strictEqual(countCrashesOf(first), count);
+        strictEqual(countCrashesOf(second), secondCount);
+    },
+);
+
 Given("each crash is reported again by another gateway", () => {
     facts.slice().forEach(fact => evidence.recordCrash({ ...fact, reporter: "g2" }, now));
 });
