Log the limit that an endpoint names, and when it stops

No log or metric told which limit an endpoint names in its responses, so that a gateway that ignores it can't be told from one that obeys. The gateway now logs endpoint-limit-named, endpoint-limit-not-named and endpoint-limit-invalid. LimitBoard merges what responses show, in the order of the responses; nothing is limited by it yet.

--- /dev/null
+++ b/packages/endpoint-limits/src/index.ts
@@ -0,0 +1,2 @@
+/** Limits that endpoints put on their requests: what is in force, and who may send next. */
+export { type EndpointLimit, LimitBoard } from "./limitBoard.js";
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -4,6 +4,7 @@
 import type { ByteBudget } from "./byteBudget.js";
 import type { CrashReporter } from "./crashReporter.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
+import type { EndpointLimits } from "./endpointLimits.js";
 import { type Attempt, listRawHeaders } from "./endpointPool.js";
 import type { EndpointTracker, SentRequest, TrackedEndpoint } from "./endpointTracker.js";
 import { EventStreamParser } from "./eventStreamParser.js";
@@ -39,6 +40,7 @@
     bias: FirstEventBiasEstimator;
     /** Estimated time between the caller's first attempt and the arrival of this request, in milliseconds. */
     ageMs: number;
+    limits: EndpointLimits;
     quarantine: QuarantineList;
     crashReporter: CrashReporter;
     /** Bytes of responses without events that all requests may hold. */
@@ -261,6 +263,12 @@
                 attempt,
                 isForeign ? "the response has another request's id" : "the response is not signed or is encoded",
             );
+            return;
+        }
+        if (responseHead.isSigned || responseHead.limit !== undefined) {
+            const { endpoint, sent } = attempt;
+            const response = { endpoint: endpoint.key, sentAt: sent.sentAt, limit: responseHead.limit };
+            this.options.limits.recordResponse(response, performance.now());
         }
     }
 
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteBudget } from "./byteBudget.js";
 import type { CrashReporter } from "./crashReporter.js";
+import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
 import { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import { ForwardedRequest } from "./forwardedRequest.js";
@@ -17,6 +18,7 @@
 
 export interface ForwarderOptions {
     tracker: EndpointTracker;
+    limits: EndpointLimits;
     codec: HttpHeaderCodec;
     logger: Logger;
     metrics: GatewayMetrics;
@@ -151,6 +153,7 @@
                 table,
                 configurationVersion,
                 tracker: this.options.tracker,
+                limits: this.options.limits,
                 codec,
                 logger: this.options.logger,
                 metrics,
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -11,6 +11,7 @@
 } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { CrashReporter } from "./crashReporter.js";
+import { EndpointLimits } from "./endpointLimits.js";
 import { EndpointTracker } from "./endpointTracker.js";
 import { Forwarder } from "./forwarder.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
@@ -52,6 +53,7 @@
     private readonly quarantine: QuarantineList;
     private readonly crashReporter: CrashReporter;
     private readonly tracker: EndpointTracker;
+    private readonly limits: EndpointLimits;
     private readonly forwarder: Forwarder;
     private readonly server: Server;
     private readonly readyServer: Server;
@@ -81,8 +83,10 @@
             logger,
             onCrash: crash => this.crashReporter.reportCrash(crash, performance.now()),
         });
+        this.limits = new EndpointLimits({ logger });
         this.forwarder = new Forwarder({
             tracker: this.tracker,
+            limits: this.limits,
             codec,
             logger,
             metrics: this.metrics,
--- a/packages/gateway/src/httpHeaderCodec.ts
+++ b/packages/gateway/src/httpHeaderCodec.ts
@@ -1,4 +1,4 @@
-import type { HeaderField } from "@kumquathall/types";
+import type { HeaderField, NamedLimit } from "@kumquathall/types";
 
 /** Metadata decoded from the headers of a caller's request. */
 export interface RequestHead {
@@ -40,6 +40,8 @@
     isEncoded: boolean;
     /** Numbers of running and waiting requests and of slots, if the endpoint reports them. */
     load: { running: number; waiting: number; slots: number } | undefined;
+    /** Requests a second that the endpoint accepts from all gateways together, if the response names a limit. */
+    limit: NamedLimit | undefined;
 }
 
 /** Decodes and encodes the headers of HTTP messages between callers, gateway and endpoints. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./consensusLog.js";
 export * from "./crash.js";
 export * from "./endpoint.js";
+export * from "./limit.js";
 export * from "./message.js";
 export * from "./outcome.js";
 export * from "./service.js";
--- /dev/null
+++ b/packages/types/src/limit.ts
@@ -0,0 +1,22 @@
+/** Limits on the requests that endpoints accept, which they name in their responses. */
+
+/** What a response says of its endpoint's limit. */
+export interface NamedLimit {
+    /** Requests a second that the endpoint accepts from all gateways together; `undefined` if `text` is not a number. */
+    perSecond: number | undefined;
+    /** The limit as the endpoint has written it. */
+    text: string;
+}
+
+/** A response shows that an endpoint's limit has changed. */
+export interface LimitFact {
+    /** The incarnation that limits its requests, as its id and start time. */
+    endpoint: string;
+    /** Requests a second that it accepts from all gateways together; `undefined` if it no longer names a limit. */
+    perSecond: number | undefined;
+    /**
+     * Time to this report from the arrival of the response, in milliseconds. If the response names no limit, from the
+     * send of its request: the response may be older than others that name one.
+     */
+    ageMs: number;
+}
