Send an endpoint no more than the limit that it names, over all gateways

What callers saw: endpoints that name a limit of their requests got far more (242 in 3 s at 0.5 a second, where 7 are allowed).

Cause: no code read the limit, and a gateway alone can't obey it, since it holds for all gateways together.

Why this works: gateways report changes of limits to all control members, which pass them on to all gateways, also to those that link anew. The leading member grants permits at the rate of each limit, whole ones, so that the limit holds at any number of gateways; every send uses one, retries and resumed streams too. A request for whose best endpoint there is no permit goes elsewhere, waits where it can still meet its objective, or is refused as over-limit with the time at which the leader expects a permit. While no leader can be reached, each gateway uses an even share.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -11,6 +11,7 @@
     ControlCall,
     CrashEvidenceFact,
     EndpointFact,
+    LimitFact,
     TrafficConfiguration,
 } from "@kumquathall/types";
 import type { ControlSettings } from "./controlSettings.js";
@@ -19,6 +20,7 @@
 import { EndpointTask } from "./endpointTask.js";
 import { LeaderCaller } from "./leaderCaller.js";
 import { LeaderTask } from "./leaderTask.js";
+import { LimitTask } from "./limitTask.js";
 import { readMemberIdentity } from "./memberIdentity.js";
 import { MembershipTask } from "./membershipTask.js";
 import { registerControlMetrics } from "./metrics.js";
@@ -37,6 +39,7 @@
     | MemberCast
     | { kind: "endpointFacts"; facts: EndpointFact[] }
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
+    | { kind: "endpointLimits"; facts: LimitFact[] }
     /** A gateway has received its first request; sent by the gateway, and by members to which this was reported. */
     | { kind: "trafficSeen" };
 
@@ -61,6 +64,7 @@
     private membershipTask: MembershipTask | undefined;
     private endpointTask: EndpointTask | undefined;
     private quarantineTask: QuarantineTask | undefined;
+    private limitTask: LimitTask | undefined;
     private directory: ControlDirectory | undefined;
 
     private constructor(
@@ -133,6 +137,7 @@
         this.membershipTask?.close();
         this.endpointTask?.close();
         this.quarantineTask?.close();
+        this.limitTask?.close();
         this.directory?.close();
         this.distributor.close();
         this.listener?.close();
@@ -195,6 +200,7 @@
                     this.distributor.removeWatcher(link);
                     this.endpointTask?.removeLink(link);
                     this.quarantineTask?.removeLink(link);
+                    this.limitTask?.removeLink(link);
                 },
             },
         });
@@ -225,6 +231,11 @@
             const options = { runtime: this.runtime, stateMachine: this.stateMachine, logger };
             this.endpointTask = new EndpointTask(options);
             this.quarantineTask = new QuarantineTask(options);
+            this.limitTask = new LimitTask({
+                runtime: this.runtime,
+                logger,
+                hasEndpoint: key => this.endpointTask?.hasEndpoint(key) === true,
+            });
         }
     }
 
@@ -283,6 +294,10 @@
             this.quarantineTask?.record(cast.facts);
             return;
         }
+        if (cast.kind === "endpointLimits") {
+            this.limitTask?.record(cast.facts);
+            return;
+        }
         const isMember = link.peer?.role === "control" && link.peer.controlGroup === this.identity.controlGroup;
         if (!isMember || link.peer?.id !== cast.from) {
             return;
@@ -333,7 +348,10 @@
                 return this.answerRead();
             case "watchEndpoints":
                 this.quarantineTask?.watch(link);
+                this.limitTask?.watch(link);
                 return { kind: "endpoints", facts: this.endpointTask?.watch(link) ?? [] };
+            case "takePermits":
+                return this.limitTask?.grant(link.peer?.id ?? "", call.wants) ?? this.buildRedirect();
             case "watchRevision":
                 return this.distributor.watch(link);
             case "readConfiguration":
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -100,6 +100,11 @@
         return this.registry.getBornMs(id);
     }
 
+    /** Whether an incarnation of an endpoint, as its id and start time, is known. */
+    hasEndpoint(key: string): boolean {
+        return this.registry.hasIncarnation(key);
+    }
+
     /** Registers a link for all new facts and returns those known so far. */
     watch(link: Link): EndpointFact[] {
         this.watchers.add(link);
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,6 +5,7 @@
 export { ControlStateMachine } from "./controlStateMachine.js";
 export { Distributor } from "./distributor.js";
 export { EndpointTask, type EndpointTaskOptions } from "./endpointTask.js";
+export { LimitTask, type LimitTaskOptions } from "./limitTask.js";
 export { type MemberChange, type MembershipInput, planMembership } from "./planMembership.js";
 export { decidePresence, type EntryReport, type PresenceInput, type PresenceOptions } from "./presence.js";
 export { ShareTable } from "./shareTable.js";
--- /dev/null
+++ b/packages/control/src/limitTask.ts
@@ -0,0 +1,90 @@
+import type { ConsensusRuntime } from "@kumquathall/consensus";
+import { LimitArbiter } from "@kumquathall/endpoint-limits";
+import type { Link } from "@kumquathall/link";
+import type { Logger } from "@kumquathall/logger";
+import type { Command, CommandResult, ControlAnswer, LimitFact, PermitWant } from "@kumquathall/types";
+
+export interface LimitTaskOptions {
+    runtime: Pick<ConsensusRuntime<Command, CommandResult>, "getState" | "canServe">;
+    logger: Logger;
+    /** Whether an incarnation of an endpoint, as its id and start time, is known. */
+    hasEndpoint: (endpoint: string) => boolean;
+}
+
+const STALE_CHECK_MS = 5000;
+/** Facts in one cast to a newly linked gateway. */
+const MAX_FACTS = 512;
+
+/**
+ * Collects the limits that endpoints name, as gateways report them. Every member does so and forwards changes to
+ * gateways, and the leader grants the permits to send to limited endpoints.
+ */
+export class LimitTask {
+    private readonly arbiter = new LimitArbiter();
+    private readonly watchers = new Set<Link>();
+    private readonly timer: NodeJS.Timeout;
+    /** Term in which permits are granted. */
+    private term: number | undefined;
+
+    constructor(private readonly options: LimitTaskOptions) {
+        this.timer = setInterval(
+            () => this.arbiter.removeStale(options.hasEndpoint, performance.now()),
+            STALE_CHECK_MS,
+        );
+    }
+
+    /** Records facts; those that change a limit are forwarded to gateways. */
+    record(facts: LimitFact[]): void {
+        const changes = this.arbiter.record(facts, performance.now());
+        if (changes.length === 0 || !this.isRelay()) {
+            return;
+        }
+        for (const { endpoint, perSecond } of changes) {
+            this.options.logger.info("endpoint-limit-changed", { endpoint, perSecond: perSecond ?? "unlimited" });
+        }
+        this.watchers.forEach(link => link.cast({ kind: "endpointLimits", facts: changes }));
+    }
+
+    /** Sends the known limits to a gateway, and changes from now on. */
+    watch(link: Link): void {
+        this.watchers.add(link);
+        const facts = this.arbiter.board.listFacts(performance.now());
+        for (let at = 0; at < facts.length; at += MAX_FACTS) {
+            link.cast({ kind: "endpointLimits", facts: facts.slice(at, at + MAX_FACTS) });
+        }
+    }
+
+    removeLink(link: Link): void {
+        this.watchers.delete(link);
+    }
+
+    /** Grants permits if this member leads. */
+    grant(gateway: string, wants: PermitWant[]): ControlAnswer {
+        const { runtime } = this.options;
+        const { leaderId, id, hardState: { term } } = runtime.getState();
+        if (!runtime.canServe()) {
+            return { kind: "notLeader", leader: leaderId === id ? undefined : leaderId };
+        }
+        if (term !== this.term) {
+            // Another member may have granted permits since this one led last.
+            this.term = term;
+            this.arbiter.clear();
+        }
+        return { kind: "permits", grants: this.arbiter.grant(gateway, wants, performance.now()) };
+    }
+
+    /** Requests a second that an endpoint accepts, as it named last; `undefined` if its requests are not limited. */
+    getNamedLimit(endpoint: string): number | undefined {
+        return this.arbiter.board.get(endpoint, performance.now())?.namedPerSecond;
+    }
+
+    close(): void {
+        clearInterval(this.timer);
+    }
+
+    /** Whether this member forwards changes: the leader does, and every member that knows no leader. */
+    private isRelay(): boolean {
+        const { leaderId, id } = this.options.runtime.getState();
+        return leaderId === undefined || leaderId === id;
+    }
+}
--- /dev/null
+++ b/packages/endpoint-limits/src/limitBoard.steps.ts
@@ -0,0 +1,68 @@
+import { Before, Then, When } from "@cucumber/cucumber";
+import type { LimitFact, PermitGrant } from "@kumquathall/types";
+import { ok, strictEqual } from "node:assert";
+import { LimitArbiter } from "./limitArbiter.js";
+
+const ENDPOINT = "e@1";
+
+let arbiter: LimitArbiter;
+/** Time at which the last fact is recorded, in milliseconds. */
+let recordedAt = 0;
+
+function buildFact(perSecond: number | undefined, at: number): LimitFact {
+    recordedAt = Math.max(recordedAt, at);
+    return { endpoint: ENDPOINT, perSecond, ageMs: recordedAt - at };
+}
+
+function record(perSecond: number | undefined, at: number): boolean {
+    const fact = buildFact(perSecond, at);
+    return arbiter.record([fact], recordedAt).length > 0;
+}
+
+function grant(gateway: string, count: number, at: number): PermitGrant {
+    const fact = arbiter.board.findFact(ENDPOINT, at);
+    ok(fact !== undefined);
+    return arbiter.grant(gateway, [{ ...fact, count }], at)[0];
+}
+
+Before({ tags: "@limit-board" }, () => {
+    arbiter = new LimitArbiter();
+    recordedAt = 0;
+});
+
+When("a response names the limit {float} at {int} ms", (perSecond: number, at: number) => {
+    record(perSecond, at);
+});
+
+When("a response names no limit to a request sent at {int} ms", (at: number) => {
+    record(undefined, at);
+});
+
+When("its endpoint no longer exists", () => arbiter.removeStale(() => false, recordedAt));
+
+Then("the limit is {float} at {int} ms", (perSecond: number, at: number) => {
+    strictEqual(arbiter.board.get(ENDPOINT, at)?.perSecond, perSecond);
+});
+
+Then("there is no limit at {int} ms", (at: number) => strictEqual(arbiter.board.get(ENDPOINT, at), undefined));
+
+Then("a fact that names the limit {float} at {int} ms is a change", (perSecond: number, at: number) => {
+    strictEqual(record(perSecond, at), true);
+});
+
+Then("a fact that names the limit {float} at {int} ms is no change", (perSecond: number, at: number) => {
+    strictEqual(record(perSecond, at), false);
+});
+
+Then("a gateway that wants {int} permits at {int} ms gets {int}", (count: number, at: number, expected: number) => {
+    strictEqual(grant("g", count, at).count, expected);
+});
+
+Then(
+    "another gateway that wants {int} permits at {int} ms gets {int} and is told to return after {int} to {int} ms",
+    (count: number, at: number, expected: number, least: number, most: number) => {
+        const granted = grant("h", count, at);
+        strictEqual(granted.count, expected);
+        ok(granted.retryAfterMs >= least && granted.retryAfterMs <= most, `${granted.retryAfterMs} ms`);
+    },
+);
--- a/packages/endpoint-limits/src/limitBoard.ts
+++ b/packages/endpoint-limits/src/limitBoard.ts
@@ -74,6 +74,18 @@
         return stored !== undefined && stored.endedAt === undefined;
     }
 
+    /** Finds the newest fact about the limit of an endpoint, as a process would report it now. */
+    findFact(endpoint: string, now: number): LimitFact | undefined {
+        const stored = this.limits.get(endpoint);
+        if (stored === undefined) {
+            return undefined;
+        }
+        const { perSecond, namedAt, endedAt } = stored;
+        return endedAt === undefined
+            ? { endpoint, perSecond, ageMs: now - namedAt }
+            : { endpoint, perSecond: undefined, ageMs: now - endedAt };
+    }
+
     /** Lists the limits in force, for a process that knows none of them. */
     listFacts(now: number): LimitFact[] {
         return [...this.limits].flatMap(([endpoint, { perSecond, namedAt, endedAt }]) =>
--- a/packages/endpoint-registry/src/endpointRegistry.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.ts
@@ -79,6 +79,12 @@
         return this.heartbeats.get(id)?.fact.bornMs ?? 0;
     }
 
+    /** Whether an incarnation, as its id and start time (`ID@MS`), is the newest known one of its id. */
+    hasIncarnation(key: string): boolean {
+        const at = key.lastIndexOf("@");
+        return this.heartbeats.get(key.slice(0, at))?.fact.bornMs === Number(key.slice(at + 1));
+    }
+
     /** Newest observation of an address. */
     getObservation(address: string): ObservationFact | undefined {
         return this.observations.get(address)?.fact;
--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -1,6 +1,7 @@
-import type { TrafficRoute } from "@kumquathall/types";
+import type { EngineModelProfile, EngineProfile, TrafficRoute } from "@kumquathall/types";
 import { chooseLeastLoadedEndpoint } from "./chooseLeastLoadedEndpoint.js";
 import { chooseReplicaGroup } from "./chooseReplicaGroup.js";
+import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker, TrackedEndpoint } from "./endpointTracker.js";
 import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import type { RequestHead } from "./httpHeaderCodec.js";
@@ -10,6 +11,7 @@
 export interface EndpointChooserOptions {
     table: RouteTable;
     tracker: EndpointTracker;
+    limits: EndpointLimits;
     bias: FirstEventBiasEstimator;
     route: TrafficRoute;
     service: string;
@@ -33,13 +35,22 @@
     predictedMs: number;
     /** The predicted time meets the latency objective. */
     isOnTime: boolean;
+    /** Number of candidates that limit their requests and of which this gateway has no permit. */
+    limited: number;
+    /** Time until a permit can make an endpoint available that meets the objective, in milliseconds. */
+    permitWaitMs: number | undefined;
 }
 
 /** Usual time to repair a group with a standby, in milliseconds: detect the loss, join the members, open the head. */
 const REPAIR_MS = 1000;
+/** Shortest time to return after a refusal for a limit, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 150;
 
 /** Chooses an endpoint of one request's service. */
 export class EndpointChooser {
+    /** Endpoint for which the latest choice has called for a permit. */
+    private wanted: { key: string; afterCall: number } | undefined;
+
     constructor(private readonly options: EndpointChooserOptions) {}
 
     /** Chooses an endpoint; skips those in `triedKeys` and those to be avoided after a failure. */
@@ -48,22 +59,77 @@
         const { now } = times;
         const { engine } = table.getService(service) ?? { engine: undefined };
         const isUsable = (endpoint: TrackedEndpoint) => endpoint.avoidUntil <= now && !triedKeys.has(endpoint.key);
-        const none: EndpointChoice = {
-            endpoint: undefined,
-            refusal: { ...RefusalCause.NoEndpoint, retryAfterMs: REPAIR_MS * (0.75 + Math.random() / 2) },
-            candidates: 0,
-            predictedMs: 0,
-            isOnTime: true,
-        };
         if (engine === undefined) {
-            const endpoints = tracker.listPlainEndpoints(service, now).filter(isUsable);
-            return { ...none, endpoint: chooseLeastLoadedEndpoint(endpoints, now), candidates: endpoints.length };
+            const endpoints = this.classifyByPermit(tracker.listPlainEndpoints(service, now).filter(isUsable), now);
+            return this.choosePlain(endpoints, times);
         }
         const model = engine.models.find(item => item.name === head.model);
         if (model === undefined) {
-            return none;
+            return buildChoice();
+        }
+        const heads = this.classifyByPermit(tracker.listGroupHeads(service, model.name).filter(isUsable), now);
+        return this.chooseHead(engine, model, heads, times);
+    }
+
+    private choosePlain({ permitted, limited }: EndpointsByPermit, times: EndpointChoiceTimes): EndpointChoice {
+        const { now } = times;
+        const choice = buildChoice({
+            endpoint: chooseLeastLoadedEndpoint(permitted, now),
+            candidates: permitted.length + limited.length,
+            limited: limited.length,
+        });
+        if (limited.length === 0) {
+            return choice;
+        }
+        const next = this.listNextPermitted(limited, now);
+        const wanted = chooseLeastLoadedEndpoint(
+            choice.endpoint === undefined ? next : [choice.endpoint, ...next],
+            now,
+        );
+        return wanted === undefined || wanted === choice.endpoint
+            ? choice
+            : this.waitForPermit(wanted, choice, 0, times);
+    }
+
+    private chooseHead(
+        engine: EngineProfile,
+        model: EngineModelProfile,
+        { permitted, limited }: EndpointsByPermit,
+        times: EndpointChoiceTimes,
+    ): EndpointChoice {
+        const choice = this.chooseGroup(engine, model, permitted, times);
+        choice.candidates = permitted.length + limited.length;
+        choice.limited = limited.length;
+        if (limited.length === 0) {
+            return choice;
+        }
+        const next = this.listNextPermitted(limited, times.now);
+        const best = this.chooseGroup(engine, model, [...permitted, ...next], times);
+        if (choice.endpoint === undefined && best.endpoint === undefined) {
+            return { ...best, candidates: choice.candidates, limited: choice.limited };
+        }
+        if (best.endpoint === undefined || best.endpoint === choice.endpoint) {
+            return choice;
+        }
+        const predictedMs = best.isOnTime ? best.predictedMs : Number.POSITIVE_INFINITY;
+        return this.waitForPermit(best.endpoint, choice, predictedMs, times);
+    }
+
+    private classifyByPermit(endpoints: TrackedEndpoint[], now: number): EndpointsByPermit {
+        const split: EndpointsByPermit = { permitted: [], limited: [] };
+        for (const endpoint of endpoints) {
+            (this.options.limits.hasPermit(endpoint.key, now) ? split.permitted : split.limited).push(endpoint);
         }
-        const endpoints = tracker.listGroupHeads(service, model.name).filter(isUsable);
+        return split;
+    }
+
+    private chooseGroup(
+        engine: EngineProfile,
+        model: EngineModelProfile,
+        endpoints: TrackedEndpoint[],
+        times: EndpointChoiceTimes,
+    ): EndpointChoice {
+        const { tracker, head, bias } = this.options;
         const choice = chooseReplicaGroup({
             profile: engine,
             model,
@@ -71,31 +137,81 @@
             candidates: endpoints.map(endpoint => ({
                 endpointId: endpoint.key,
                 load: tracker.estimateLoad(endpoint),
-                failureScore: endpoint.health.getFailureScore(now),
+                failureScore: endpoint.health.getFailureScore(times.now),
             })),
-            firstEventBiasMs: this.options.bias.get(model.name),
+            firstEventBiasMs: bias.get(model.name),
             timeToObjectiveMs: times.timeToObjectiveMs,
             timeToAbandonmentMs: times.timeToAbandonmentMs,
             random: Math.random(),
         });
         switch (choice.kind) {
             case "none":
-                return none;
+                return buildChoice();
             case "refuse":
-                return {
-                    ...none,
+                return buildChoice({
                     refusal: { ...RefusalCause.NoRoom, retryAfterMs: choice.retryAfterMs },
-                    candidates: endpoints.length,
                     predictedMs: choice.predictedMs,
-                };
+                });
             case "send":
-                return {
-                    ...none,
+                return buildChoice({
                     endpoint: endpoints.find(endpoint => endpoint.key === choice.endpointId),
-                    candidates: endpoints.length,
                     predictedMs: choice.predictedMs,
                     isOnTime: choice.isOnTime,
-                };
+                });
+        }
+    }
+
+    /** Lists the endpoints for which the next permit can be had first. */
+    private listNextPermitted(limited: TrackedEndpoint[], now: number): TrackedEndpoint[] {
+        const waits = limited.map(endpoint => this.options.limits.getWaitMs(endpoint.key, now));
+        const firstMs = waits.reduce((first, waitMs) => Math.min(first, waitMs), Number.POSITIVE_INFINITY);
+        return limited.filter((_, at) => waits[at] <= firstMs);
+    }
+
+    /** Calls for a permit for the endpoint, and waits for it if nothing else serves the request as well. */
+    private waitForPermit(
+        endpoint: TrackedEndpoint,
+        choice: EndpointChoice,
+        predictedMs: number,
+        times: EndpointChoiceTimes,
+    ): EndpointChoice {
+        const { limits } = this.options;
+        const afterCall = this.wanted?.key === endpoint.key ? this.wanted.afterCall : undefined;
+        this.wanted = { key: endpoint.key, afterCall: limits.askForPermit(endpoint.key, times.now, afterCall) };
+        if (choice.endpoint !== undefined && choice.isOnTime) {
+            return choice;
         }
+        const waitMs = limits.getWaitMs(endpoint.key, times.now);
+        if (waitMs === 0 || waitMs + predictedMs <= times.timeToObjectiveMs) {
+            return { ...choice, endpoint: undefined, permitWaitMs: waitMs };
+        }
+        if (choice.endpoint !== undefined) {
+            return choice;
+        }
+        const retryAfterMs = limits.getRetryAfterMs(endpoint.key, times.now) * (1 + Math.random() / 4);
+        return {
+            ...choice,
+            refusal: { ...RefusalCause.OverLimit, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, retryAfterMs) },
+        };
     }
 }
+
+/** Endpoints of which this gateway has a permit, unlimited ones among them, and the others. */
+interface EndpointsByPermit {
+    permitted: TrackedEndpoint[];
+    limited: TrackedEndpoint[];
+}
+
+/** Builds the choice of no endpoint, with what differs from it. */
+function buildChoice(choice: Partial<EndpointChoice> = {}): EndpointChoice {
+    return {
+        endpoint: undefined,
+        refusal: { ...RefusalCause.NoEndpoint, retryAfterMs: REPAIR_MS * (0.75 + Math.random() / 2) },
+        candidates: 0,
+        predictedMs: 0,
+        isOnTime: true,
+        limited: 0,
+        permitWaitMs: undefined,
+        ...choice,
+    };
+}
--- a/packages/gateway/src/endpointLimits.ts
+++ b/packages/gateway/src/endpointLimits.ts
@@ -1,6 +1,8 @@
 import { LimitBoard } from "@kumquathall/endpoint-limits";
+import { describeError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
-import type { LimitFact, NamedLimit } from "@kumquathall/types";
+import type { LimitFact, NamedLimit, PermitGrant, PermitWant } from "@kumquathall/types";
+import { PermitStock } from "./permitStock.js";
 
 /** What a valid response shows of its endpoint's limit. */
 export interface LimitResponse {
@@ -13,18 +15,50 @@
 
 export interface EndpointLimitsOptions {
     logger: Logger;
+    /** Sends facts to all linked control members. */
+    sendAll: (facts: LimitFact[]) => void;
+    /** Asks the leading control member for permits; rejects if none answers. */
+    takePermits: (wants: PermitWant[]) => Promise<PermitGrant[]>;
+    /** Counts the gateways that share the limits. */
+    countGateways: () => number;
+    /** Random number in [0, 1). */
+    random?: () => number;
 }
 
 /** Limits that are not numbers are logged for each endpoint at this interval, in milliseconds. */
 const INVALID_LOG_INTERVAL_MS = 10_000;
 /** Endpoints whose invalid limits are remembered as logged. */
 const MAX_INVALID = 1000;
+/** Facts within this time are sent to control together, in milliseconds. */
+const COALESCE_MS = 5;
+/** Interval between calls for permits for each gateway that shares the leader, in milliseconds. */
+const CALL_INTERVAL_PER_GATEWAY_MS = 0.5;
+/** Endpoints in one call; those that most requests want come first. */
+const MAX_WANTS = 64;
+/** Interval between calls while no leader answers, in milliseconds. */
+const DETACHED_CALL_INTERVAL_MS = 250;
 
-/** The limits that endpoints name in their responses. */
+/**
+ * The limits that endpoints name in their responses, and this gateway's permits to send to limited endpoints. The leading
+ * control member grants the permits. While none can be reached, this gateway uses an even share of each limit.
+ */
 export class EndpointLimits {
     private readonly board = new LimitBoard();
+    private readonly stocks = new Map<string, PermitStock>();
+    /** Stocks of which requests have wanted permits since the last call. */
+    private readonly wanted = new Map<string, PermitStock>();
+    private readonly waiting = new Set<() => void>();
     /** Time of the last log line about an invalid limit, by endpoint. */
     private readonly invalidLoggedAt = new Map<string, number>();
+    /** Newest facts that control has not been sent, by endpoint, with the time at which they were recorded. */
+    private readonly unsent = new Map<string, { fact: LimitFact; at: number }>();
+    private sendTimer: NodeJS.Timeout | undefined;
+    private callTimer: NodeJS.Timeout | undefined;
+    private isCalling = false;
+    private endedCalls = 0;
+    private lastCallAt = Number.NEGATIVE_INFINITY;
+    /** No leader answered the last call. */
+    private isDetached = false;
 
     constructor(private readonly options: EndpointLimitsOptions) {}
 
@@ -44,11 +78,110 @@
         }
     }
 
+    /** Records what control has received from other gateways. */
+    record(facts: LimitFact[], now: number): void {
+        facts.filter(fact => this.board.record(fact, now)).forEach(fact => this.reportChange(fact));
+    }
+
+    /** Lists the limits in force, for a control member that may know none of them. */
+    listFacts(now: number): LimitFact[] {
+        return this.board.listFacts(now);
+    }
+
+    /** Number of endpoints whose requests are limited. */
+    count(now: number): number {
+        return this.board.count(now);
+    }
+
+    /** Whether a request may be sent to an endpoint now. */
+    hasPermit(endpoint: string, now: number): boolean {
+        const limit = this.board.get(endpoint, now);
+        if (limit === undefined) {
+            return true;
+        }
+        const stock = this.getOrCreateStock(endpoint);
+        if (this.isDetached) {
+            const { countGateways, random = Math.random } = this.options;
+            stock.advanceShare(limit.perSecond / Math.max(1, countGateways()), random(), now);
+        }
+        return stock.has(now);
+    }
+
+    /** Uses a permit for a request that is sent. */
+    takePermit(endpoint: string, now: number): void {
+        if (this.board.get(endpoint, now) !== undefined) {
+            this.getOrCreateStock(endpoint).take(now);
+        }
+    }
+
+    /**
+     * Calls for a permit for an endpoint that would be chosen, and of which this gateway has none. Returns the number of
+     * calls that have ended: a request that chooses again before the next one ends passes it as `afterCall`, so that it
+     * does not count twice.
+     */
+    askForPermit(endpoint: string, now: number, afterCall?: number): number {
+        const stock = this.getOrCreateStock(endpoint);
+        if (afterCall !== this.endedCalls) {
+            stock.recordWant(now);
+            this.wanted.set(endpoint, stock);
+        }
+        if (stock.isCallDue(now)) {
+            this.scheduleCall(now);
+        }
+        return this.endedCalls;
+    }
+
+    /** Time until this gateway may have the next permit, in milliseconds; 0 if a call decides. */
+    getWaitMs(endpoint: string, now: number): number {
+        return this.getOrCreateStock(endpoint).getWaitMs(now);
+    }
+
+    /** Time after which a refused request can expect a permit, in milliseconds. */
+    getRetryAfterMs(endpoint: string, now: number): number {
+        return this.getOrCreateStock(endpoint).getRetryAfterMs(now);
+    }
+
+    /** Calls `wake` once after the next call for permits has ended. Returns a function that cancels this. */
+    waitForPermits(wake: () => void): () => void {
+        this.waiting.add(wake);
+        return () => this.waiting.delete(wake);
+    }
+
+    /** Removes what is kept of endpoints that no longer exist. */
+    removeStale(hasEndpoint: (endpoint: string) => boolean, now: number): void {
+        this.board.removeStale(hasEndpoint, now);
+        for (const endpoint of this.stocks.keys()) {
+            if (this.board.get(endpoint, now) === undefined) {
+                this.stocks.delete(endpoint);
+                this.wanted.delete(endpoint);
+            }
+        }
+    }
+
+    close(): void {
+        clearTimeout(this.sendTimer);
+        clearTimeout(this.callTimer);
+        this.waiting.clear();
+    }
+
     private recordOwn(fact: LimitFact, now: number): void {
         if (!this.board.record(fact, now)) {
             return;
         }
-        const { endpoint, perSecond } = fact;
+        this.reportChange(fact);
+        this.unsent.set(fact.endpoint, { fact, at: now });
+        this.sendTimer ??= setTimeout(() => this.sendFacts(), COALESCE_MS);
+    }
+
+    private sendFacts(): void {
+        this.sendTimer = undefined;
+        const now = performance.now();
+        const facts = [...this.unsent.values()].map(({ fact, at }) => ({ ...fact, ageMs: fact.ageMs + now - at }));
+        this.unsent.clear();
+        this.options.sendAll(facts);
+    }
+
+    private reportChange({ endpoint, perSecond }: LimitFact): void {
         this.options.logger.info(perSecond === undefined ? "endpoint-limit-not-named" : "endpoint-limit-named", {
             endpoint,
             perSecond,
@@ -70,4 +203,74 @@
             remedy: "name a decimal number of 0 or more",
         });
     }
+
+    private getOrCreateStock(endpoint: string): PermitStock {
+        const known = this.stocks.get(endpoint);
+        if (known !== undefined) {
+            return known;
+        }
+        const stock = new PermitStock();
+        this.stocks.set(endpoint, stock);
+        return stock;
+    }
+
+    private scheduleCall(now: number): void {
+        if (this.isCalling) {
+            return;
+        }
+        const intervalMs = this.isDetached
+            ? DETACHED_CALL_INTERVAL_MS
+            : this.options.countGateways() * CALL_INTERVAL_PER_GATEWAY_MS;
+        const delayMs = Math.max(0, this.lastCallAt + intervalMs - now);
+        this.callTimer ??= setTimeout(() => void this.callForPermits(), delayMs);
+    }
+
+    private async callForPermits(): Promise<void> {
+        this.callTimer = undefined;
+        const wants = this.collectWants(performance.now());
+        if (wants.length === 0) {
+            return;
+        }
+        this.lastCallAt = performance.now();
+        this.isCalling = true;
+        try {
+            const grants = await this.options.takePermits(wants);
+            this.applyGrants(grants, performance.now());
+        }
+        catch (error) {
+            if (!this.isDetached) {
+                this.options.logger.info("permits-not-granted", { message: describeError(error) });
+            }
+            this.isDetached = true;
+        }
+        this.isCalling = false;
+        this.endedCalls++;
+        const waiting = [...this.waiting];
+        this.waiting.clear();
+        waiting.forEach(wake => wake());
+        const now = performance.now();
+        if ([...this.wanted.values()].some(stock => stock.isCallDue(now))) {
+            this.scheduleCall(now);
+        }
+    }
+
+    private applyGrants(grants: PermitGrant[], now: number): void {
+        if (this.isDetached) {
+            this.isDetached = false;
+            this.stocks.forEach(stock => stock.clearShare());
+        }
+        grants.forEach(grant => this.getOrCreateStock(grant.endpoint).apply(grant, now));
+    }
+
+    /** Collects what requests have wanted since the last call. */
+    private collectWants(now: number): PermitWant[] {
+        const due = [...this.wanted].filter(([, stock]) => stock.isCallDue(now))
+            .sort(([, left], [, right]) => right.wantedCount - left.wantedCount)
+            .slice(0, MAX_WANTS);
+        return due.flatMap(([endpoint, stock]) => {
+            this.wanted.delete(endpoint);
+            const fact = this.board.findFact(endpoint, now);
+            return fact === undefined ? [] : [{ ...fact, count: stock.collectWants() }];
+        });
+    }
 }
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -180,6 +180,11 @@
         }
     }
 
+    /** Whether an incarnation of an endpoint, as its id and start time, is known. */
+    hasEndpoint(key: string): boolean {
+        return this.registry.hasIncarnation(key);
+    }
+
     close(): void {
         this.checks.forEach(timer => clearTimeout(timer));
         for (const endpoint of this.endpoints.values()) {
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -50,6 +50,8 @@
 
 /** Interval between choices of an endpoint while none is available to continue a stream, in milliseconds. */
 const CHOICE_RETRY_MS = 20;
+/** A call for permits ends within this time, in milliseconds. */
+const PERMIT_WAIT_MS = 300;
 /** No attempt is started with less than this time to the deadline, in milliseconds. */
 const MIN_ATTEMPT_MS = 20;
 /** The request is refused after this many endpoints rejected it without running it. */
@@ -102,6 +104,8 @@
     private readonly timing: RequestTiming;
     private readonly deadlineTimer: NodeJS.Timeout;
     private choiceTimer: NodeJS.Timeout | undefined;
+    /** Cancels a wait for permits. */
+    private cancelWait: (() => void) | undefined;
     private stallTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: ForwardedRequestOptions) {
@@ -150,12 +154,32 @@
             return;
         }
         if (this.firstByteAt !== undefined) {
-            this.choiceTimer = setTimeout(() => this.sendNext(), CHOICE_RETRY_MS);
+            this.waitForPermit(CHOICE_RETRY_MS);
+            return;
+        }
+        if (choice.permitWaitMs !== undefined) {
+            this.waitForPermit(choice.permitWaitMs > 0 ? choice.permitWaitMs : PERMIT_WAIT_MS);
             return;
         }
         this.finishWithoutResponse(choice.refusal);
     }
 
+    /** Chooses again after `waitMs`, or once control has granted permits. */
+    private waitForPermit(waitMs: number): void {
+        const choose = () => {
+            this.stopWaiting();
+            this.sendNext();
+        };
+        this.choiceTimer = setTimeout(choose, waitMs);
+        this.cancelWait = this.options.limits.waitForPermits(choose);
+    }
+
+    private stopWaiting(): void {
+        clearTimeout(this.choiceTimer);
+        this.cancelWait?.();
+        this.cancelWait = undefined;
+    }
+
     private chooseEndpoint(): EndpointChoice {
         const now = performance.now();
         this.choice = this.chooser.choose(this.triedKeys, {
@@ -178,6 +202,7 @@
             return;
         }
         const { request, body, codec, head, account, route } = this.options;
+        this.options.limits.takePermit(endpoint.key, performance.now());
         this.triedKeys.add(endpoint.key);
         this.sends++;
         const sent: SentRequest = {
@@ -497,7 +522,7 @@
     private finish(status: number, cause: string, effect: () => void): void {
         this.isFinished = true;
         clearTimeout(this.deadlineTimer);
-        clearTimeout(this.choiceTimer);
+        this.stopWaiting();
         clearTimeout(this.stallTimer);
         effect();
         const { metrics, route, logger, head, service, account, arrivedAt, configurationVersion } = this.options;
@@ -517,6 +542,7 @@
             firstByteMs: this.firstByteAt === undefined ? undefined : Math.round(this.firstByteAt - arrivedAt),
             predictedMs: Math.round(this.choice?.predictedMs ?? 0),
             candidates: this.choice?.candidates,
+            limited: this.choice?.limited === 0 ? undefined : this.choice?.limited,
             ageMs: Math.round(this.options.ageMs),
             quarantined: this.quarantineRecord === undefined ? undefined : formatSuspect(this.quarantineRecord),
             crashes: this.quarantineRecord?.crashes.length,
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -7,6 +7,7 @@
     ControlAnswer,
     CrashEvidenceFact,
     EndpointFact,
+    LimitFact,
     RevisionCast,
 } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -16,6 +17,7 @@
 import { Forwarder } from "./forwarder.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
 import { type GatewayMetrics, registerGatewayMetrics } from "./metrics.js";
+import { PermitClient } from "./permitClient.js";
 import { QuarantineList } from "./quarantineList.js";
 import type { RouteTable } from "./routeTable.js";
 import { canAcceptWhileStopping, planStop, type StopPlan } from "./stopPlan.js";
@@ -37,9 +39,11 @@
 type ControlCast =
     | RevisionCast
     | { kind: "endpointFacts"; facts: EndpointFact[] }
-    | { kind: "crashEvidence"; facts: CrashEvidenceFact[] };
+    | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
+    | { kind: "endpointLimits"; facts: LimitFact[] };
 
 const DRAIN_CHECK_MS = 50;
+const STALE_CHECK_MS = 5000;
 /** Largest header block that is parsed, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
 /** Callers reuse idle connections up to the configured limit; the server keeps them open this much longer. */
@@ -57,6 +61,7 @@
     private readonly forwarder: Forwarder;
     private readonly server: Server;
     private readonly readyServer: Server;
+    private readonly staleTimer: NodeJS.Timeout;
     private stoppingSince: number | undefined;
     private readonly stopPlan: StopPlan;
 
@@ -83,7 +88,17 @@
             logger,
             onCrash: crash => this.crashReporter.reportCrash(crash, performance.now()),
         });
-        this.limits = new EndpointLimits({ logger });
+        const permits = new PermitClient(() => this.directory.listLinks());
+        this.limits = new EndpointLimits({
+            logger,
+            sendAll: facts => this.directory.castAll({ kind: "endpointLimits", facts }),
+            takePermits: wants => permits.take(wants),
+            countGateways: () => this.directory.countGateways(),
+        });
+        this.staleTimer = setInterval(
+            () => this.limits.removeStale(key => this.tracker.hasEndpoint(key), performance.now()),
+            STALE_CHECK_MS,
+        );
         this.forwarder = new Forwarder({
             tracker: this.tracker,
             limits: this.limits,
@@ -162,6 +177,8 @@
         this.reader.close();
         this.directory.close();
         this.tracker.close();
+        this.limits.close();
+        clearInterval(this.staleTimer);
         this.server.close();
         this.readyServer.close();
         this.server.closeAllConnections();
@@ -210,6 +227,10 @@
         if (reports.length > 0) {
             link.cast({ kind: "crashEvidence", facts: reports });
         }
+        const limits = this.limits.listFacts(performance.now());
+        if (limits.length > 0) {
+            link.cast({ kind: "endpointLimits", facts: limits });
+        }
         void this.reader.watch(link);
         link.call({ kind: "watchEndpoints" })
             .then(answer => this.recordFacts(answer as ControlAnswer))
@@ -229,6 +250,9 @@
         else if (message.kind === "endpointFacts") {
             this.tracker.record(message.facts, performance.now());
         }
+        else if (message.kind === "endpointLimits") {
+            this.limits.record(message.facts, performance.now());
+        }
         else {
             this.crashReporter.recordFacts(message.facts, performance.now());
         }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,8 +6,10 @@
     type ReplicaGroupChoiceInput,
 } from "./chooseReplicaGroup.js";
 export { CrashReporter, type EndpointCrash } from "./crashReporter.js";
+export { EndpointLimits, type EndpointLimitsOptions, type LimitResponse } from "./endpointLimits.js";
 export { EventStreamParser } from "./eventStreamParser.js";
 export { GatewayRole, type GatewaySettings } from "./gatewayRole.js";
 export { type ForwardHeaderValues, HttpHeaderCodec, type RequestHead, type ResponseHead } from "./httpHeaderCodec.js";
+export { PermitClient } from "./permitClient.js";
 export { chooseTarget, RouteTable } from "./routeTable.js";
 export { TrafficConfigurationReader } from "./trafficConfigurationReader.js";
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -25,6 +25,8 @@
     Quarantined: { name: "fenced", status: 503 },
     Stopping: { name: "stopping", status: 503, retryAfterMs: 50 },
     NoRoom: { name: "no-room", status: 503, retryAfterMs: 1000 },
+    /** The endpoints limit their requests, and no permit comes in time. */
+    OverLimit: { name: "over-limit", status: 503, retryAfterMs: 1000 },
     NotInTime: { name: "not-in-time", status: 503, retryAfterMs: 1000 },
     EndpointFailed: { name: "endpoint-failed", status: 502 },
     /** The caller does not read a response that has started. */
--- a/packages/types/src/limit.ts
+++ b/packages/types/src/limit.ts
@@ -20,3 +20,22 @@
      */
     ageMs: number;
 }
+
+/** A gateway asks for permits to send requests to an endpoint; with the limit as the gateway knows it. */
+export interface PermitWant extends LimitFact {
+    count: number;
+}
+
+/** Permits for one gateway to send requests to an endpoint. They expire after {@link PERMIT_VALID_MS}. */
+export interface PermitGrant {
+    endpoint: string;
+    /** Number of requests that may be sent. */
+    count: number;
+    /** Time until the next permit can be granted, in milliseconds. */
+    nextMs: number;
+    /** Time until what was not granted can be expected, with the other gateways' demand, in milliseconds. */
+    retryAfterMs: number;
+}
+
+/** Time for which a permit is valid, in milliseconds. */
+export const PERMIT_VALID_MS = 1000;
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -3,6 +3,7 @@
 import type { Command, CommandResult, HeaderField } from "./command.js";
 import type { ConfigurationUpdate, FencingNumber, Revision, VmAttributes } from "./configuration.js";
 import type { EndpointFact } from "./endpoint.js";
+import type { PermitGrant, PermitWant } from "./limit.js";
 
 /** Load that an agent reports for its endpoint. */
 export interface LoadReport {
@@ -40,6 +41,8 @@
     | { kind: "readTraffic" }
     /** Asks for all current facts about endpoints and subscribes to later ones. */
     | { kind: "watchEndpoints" }
+    /** Asks the leader for permits to send requests to endpoints that limit them. */
+    | { kind: "takePermits"; wants: PermitWant[] }
     /** Asks for the revision of the newest configuration change in this member's log; see {@link VouchAnswer}. */
     | { kind: "vouch" }
     /** An entry reports the agents that connected and disconnected: all agents if `isFull`, otherwise the changes. */
@@ -96,6 +99,7 @@
     | { kind: "members"; members: string[]; gateways: number }
     | { kind: "traffic"; document: string | undefined }
     | { kind: "endpoints"; facts: EndpointFact[] }
+    | { kind: "permits"; grants: PermitGrant[] }
     | { kind: "revision"; revision: Revision }
     | { kind: "update"; update: ConfigurationUpdate }
     | { kind: "status"; status: ControlStatus }
