Count limited groups for the part of their work that they accept when free endpoints are assigned

A group whose head limits its requests counted as a whole one, so that new endpoints went to the other model. The planner now takes the limit that the head names against the requests a second of its profile. No serving group is dissolved for it, since limits end by themselves.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -229,7 +229,10 @@
         }
         if (this.options.canOrderEngines === true) {
             const options = { runtime: this.runtime, stateMachine: this.stateMachine, logger };
-            this.endpointTask = new EndpointTask(options);
+            this.endpointTask = new EndpointTask({
+                ...options,
+                getNamedLimit: endpoint => this.limitTask?.getNamedLimit(endpoint),
+            });
             this.quarantineTask = new QuarantineTask(options);
             this.limitTask = new LimitTask({
                 runtime: this.runtime,
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -1,13 +1,16 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
 import { getTraffic } from "@kumquathall/control-state";
-import { EndpointRegistry } from "@kumquathall/endpoint-registry";
+import { EndpointRegistry, type EndpointView } from "@kumquathall/endpoint-registry";
 import { LoadBudget, planEngineOrders, type PlannedOrder } from "@kumquathall/engine-groups";
+import { estimateServiceMs } from "@kumquathall/engine-model";
 import type { Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
 import type {
     Command,
     CommandResult,
     EndpointFact,
+    EngineModelProfile,
+    EngineProfile,
     ObservationFact,
     OrderMessage,
     TrafficService,
@@ -20,9 +23,12 @@
     runtime: ConsensusRuntime<Command, CommandResult>;
     stateMachine: ControlStateMachine;
     logger: Logger;
+    /** Requests a second that an incarnation (`ID@MS`) accepts; `undefined` if its requests are not limited. */
+    getNamedLimit?: (endpoint: string) => number | undefined;
 }
 
 const TICK_MS = 40;
+const MS_PER_SECOND = 1000;
 /** Facts within this time are sent to watchers together, in milliseconds, if one changes which endpoints serve. */
 const CHANGE_COALESCE_MS = 5;
 /** The same for facts that change load only. */
@@ -214,10 +220,19 @@
             getOrderedMembers: key => this.orders.getMembers(key),
             isOpening: key => this.orders.isOpening(key, now, engine.formationMs + OPEN_MARGIN_MS),
             getStagingModel: view => this.orders.getStagingModel(view),
+            getAcceptedPart: (head, model) => this.computeAcceptedPart(head, engine, model),
         });
         planned.forEach(item => this.sendOrder(item, now));
     }
 
+    /** Part of a group's usual work that its head accepts, 0 to 1. */
+    private computeAcceptedPart(head: EndpointView, engine: EngineProfile, model: EngineModelProfile): number {
+        const limit = this.options.getNamedLimit?.(`${head.id}@${head.bornMs}`);
+        const { usualPromptTokens, usualAnswerTokens } = engine;
+        const usualMs = estimateServiceMs(engine, model, usualPromptTokens, usualAnswerTokens);
+        return limit === undefined ? 1 : Math.min(1, limit * usualMs / MS_PER_SECOND);
+    }
+
     /** Whether every sidecar has had time to link, and a former leader's orders have had time to be reported. */
     private isDiscoveryComplete(now: number): boolean {
         return this.firstSeenAt !== undefined && now - this.firstSeenAt > DISCOVERY_MS
--- a/packages/engine-groups/src/planOrders.feature
+++ b/packages/engine-groups/src/planOrders.feature
@@ -144,3 +144,15 @@
         Then no "leave" order was given
         When the groups of "big" run 0 requests
         Then a group of "big" serves again within 1000 ms
+
+    # Guards against new endpoints that wait for a model that lacks none, while the groups of the other take almost nothing.
+    Scenario: New endpoints go to the model whose groups limit their requests, and no serving group is dissolved for it
+        Given 11 engines in each of 3 domains
+        When 60000 ms pass before traffic
+        And traffic begins
+        And 20000 ms pass
+        And the heads of "small" groups accept only 0.2 of their work
+        And 4 engines are added to the first domain
+        And 40000 ms pass
+        Then more groups of "small" serve than before
+        And no serving group was dissolved
--- a/packages/engine-groups/src/planOrders.steps.ts
+++ b/packages/engine-groups/src/planOrders.steps.ts
@@ -11,6 +11,7 @@
 let addedIds: string[] = [];
 let ordersBefore = 0;
 let slowId = "";
+let servingBefore = 0;
 let domainCount = 0;
 let domainSize = 0;
 
@@ -278,6 +279,23 @@
     fleet.crashMember(model, 2);
 });
 
+When("the heads of {string} groups accept only {float} of their work", (model: string, part: number) => {
+    servingBefore = countServing(model);
+    const heads = fleet.listEngines().filter(view =>
+        view.engine?.group?.rank === 0 && parseGroupName(view.engine.group.name)?.model === model
+    );
+    heads.forEach(view => fleet.acceptedParts.set(view.id, part));
+});
+
+Then("more groups of {string} serve than before", (model: string) => {
+    ok(countServing(model) > servingBefore, fleet.listServing().join(", "));
+    deepStrictEqual(fleet.violations, []);
+});
+
+Then("no serving group was dissolved", () => {
+    deepStrictEqual(fleet.orders.filter(item => item.order.kind === "leave"), []);
+});
+
 When("{int} ms pass", (ms: number) => fleet.advance(ms));
 
 Then("a group of {string} serves without the slow member within {int} ms", (model: string, withinMs: number) => {
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -31,6 +31,8 @@
     isOpening: (groupKey: string) => boolean;
     /** Name of the model that an endpoint was ordered to stage and has not staged yet. */
     getStagingModel: (view: EndpointView) => string | undefined;
+    /** Part of a group's usual work that its head accepts, 0 to 1: less than 1 if the head limits its requests. */
+    getAcceptedPart?: (head: EndpointView, model: EngineModelProfile) => number;
 }
 
 export interface PlannedOrder {
@@ -72,6 +74,8 @@
     private readonly free = new Map<string, EndpointView[]>();
     /** Number of replica groups that serve or are being formed, by model. */
     private readonly groupCounts = new Map<string, number>();
+    /** The same, where a group whose head limits its requests counts only for the part of its work that it accepts. */
+    private readonly capacities = new Map<string, number>();
     /** Endpoints that may be group members, by fabric domain. */
     private readonly usable = new Map<string, EndpointView[]>();
     /** Models by descending group size. */
@@ -112,7 +116,7 @@
             const mustKeep = !group.isComplete && !isForming && !this.isConfirmedDegraded(group);
             if (group.isComplete || isForming || mustKeep) {
                 activeKeys.add(group.key);
-                this.groupCounts.set(group.model, (this.groupCounts.get(group.model) ?? 0) + 1);
+                this.countGroup(group.model, this.getAcceptedPart(group));
             }
             if (isForming) {
                 this.completeJoins(group);
@@ -229,7 +233,7 @@
                 cold.forEach(view => this.stage(view, model));
                 continue;
             }
-            this.groupCounts.set(model.name, (this.groupCounts.get(model.name) ?? 0) + 1);
+            this.countGroup(model.name, 1);
             this.formGroup(model, members);
         }
     }
@@ -237,7 +241,7 @@
     /** Chooses the most underallocated model that can form a group, and the domain with the fewest loads. */
     private chooseGroup(canLoad: boolean) {
         const models = [...this.input.profile.models].sort((left, right) =>
-            this.computeAllocation(left) - this.computeAllocation(right)
+            this.computeAcceptingAllocation(left) - this.computeAcceptingAllocation(right)
         );
         for (const model of models) {
             const choices = [...this.free.keys()].flatMap(domain => {
@@ -285,7 +289,9 @@
             return [];
         }
         const free = this.free.get(domain) ?? [];
-        return this.models.filter(other => this.computeAllocation(other) < this.computeAllocation(model)).flatMap(
+        return this.models.filter(other =>
+            this.computeAcceptingAllocation(other) < this.computeAcceptingAllocation(model)
+        ).flatMap(
             other => {
                 const ready = free.filter(view =>
                     !mustLoad(view, other) || this.input.getStagingModel(view) === other.name
@@ -330,6 +336,26 @@
         return (this.groupCounts.get(model.name) ?? 0) * model.groupSize / model.share;
     }
 
+    /**
+     * The allocation that accepts requests. It decides what free endpoints are used for. No serving group is dissolved
+     * for it, since limits end by themselves.
+     */
+    private computeAcceptingAllocation(model: EngineModelProfile): number {
+        return (this.capacities.get(model.name) ?? 0) * model.groupSize / model.share;
+    }
+
+    private countGroup(model: string, acceptedPart: number): void {
+        this.groupCounts.set(model, (this.groupCounts.get(model) ?? 0) + 1);
+        this.capacities.set(model, (this.capacities.get(model) ?? 0) + acceptedPart);
+    }
+
+    private getAcceptedPart(group: EngineGroup): number {
+        const model = this.models.find(item => item.name === group.model);
+        return group.head === undefined || model === undefined
+            ? 1
+            : this.input.getAcceptedPart?.(group.head, model) ?? 1;
+    }
+
     private formGroup(model: EngineModelProfile, members: EndpointView[]): void {
         const epoch = this.input.createEpoch();
         const name = formatGroupName({ isStandby: false, model: model.name, size: model.groupSize });
@@ -371,7 +397,7 @@
             return ready.length > 0 && ready.length % model.groupSize === model.groupSize - 1;
         };
         const byNeed = [...this.models].sort((left, right) =>
-            this.computeAllocation(left) - this.computeAllocation(right)
+            this.computeAcceptingAllocation(left) - this.computeAcceptingAllocation(right)
         );
         return byNeed.find(isCompleted) ?? this.models[0];
     }
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -23,6 +23,8 @@
     hasCompleteView = true;
     /** Ids of endpoints that are hidden from the planner. */
     readonly hidden = new Set<string>();
+    /** Part of its usual work that each head accepts which limits its requests, by id. */
+    readonly acceptedParts = new Map<string, number>();
     readonly orders: PlannedOrder[] = [];
     /** Violated invariants, as text. */
     readonly violations: string[] = [];
@@ -189,6 +191,7 @@
             getOrderedMembers: key => this.orderedMembers.get(key),
             isOpening: key => this.now - (this.openedAt.get(key) ?? Number.NEGATIVE_INFINITY) < 800,
             getStagingModel: view => this.engines.get(view.id)?.staging?.model,
+            getAcceptedPart: head => this.acceptedParts.get(head.id) ?? 1,
         });
         for (const item of planned) {
             this.orders.push(item);
