--- a/packages/control/src/limitTask.ts
+++ b/packages/control/src/limitTask.ts
@@ -12,6 +12,8 @@
 }
 
 const STALE_CHECK_MS = 5000;
+/** Changes within this time are sent to gateways together, in milliseconds. */
+const COALESCE_MS = 5;
 /** Facts in one cast to a newly linked gateway. */
 const MAX_FACTS = 512;
 
@@ -23,6 +25,9 @@
     private readonly arbiter = new LimitArbiter();
     private readonly watchers = new Set<Link>();
     private readonly timer: NodeJS.Timeout;
+    /** Endpoints whose limits have changed since the last cast to gateways. */
+    private readonly changed = new Set<string>();
+    private flushTimer: NodeJS.Timeout | undefined;
     /** Term in which permits are granted. */
     private term: number | undefined;
 
@@ -35,14 +40,17 @@
 
     /** Records facts; those that change a limit are forwarded to gateways. */
     record(facts: LimitFact[]): void {
-        const changes = this.arbiter.record(facts, performance.now());
+        const now = performance.now();
+        const changes = this.arbiter.record(facts, now);
         if (changes.length === 0 || !this.isRelay()) {
             return;
         }
-        for (const { endpoint, perSecond } of changes) {
+        for (const fact of changes) {
+            const { endpoint, perSecond } = fact;
             this.options.logger.info("endpoint-limit-changed", { endpoint, perSecond: perSecond ?? "unlimited" });
+            this.changed.add(endpoint);
         }
-        this.watchers.forEach(link => link.cast({ kind: "endpointLimits", facts: changes }));
+        this.flushTimer ??= setTimeout(() => this.flush(), COALESCE_MS);
     }
 
     /** Sends the known limits to a gateway, and changes from now on. */
@@ -80,6 +88,15 @@
 
     close(): void {
         clearInterval(this.timer);
+        clearTimeout(this.flushTimer);
+    }
+
+    private flush(): void {
+        this.flushTimer = undefined;
+        const now = performance.now();
+        const facts = [...this.changed].flatMap(endpoint => this.arbiter.board.findFact(endpoint, now) ?? []);
+        this.changed.clear();
+        this.watchers.forEach(link => link.cast({ kind: "endpointLimits", facts }));
     }
 
     /** Whether this member forwards changes: the leader does, and every member that knows no leader. */
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -8,6 +8,8 @@
     CrashEvidenceFact,
     EndpointFact,
     LimitFact,
+    PermitGrant,
+    PermitWant,
     RevisionCast,
 } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -71,7 +73,9 @@
         private readonly codec: HttpHeaderCodec,
     ) {
         const { logger } = context;
-        this.metrics = registerGatewayMetrics(context.metrics);
+        this.metrics = registerGatewayMetrics(context.metrics, {
+            countLimited: () => this.limits.count(performance.now()),
+        });
         this.stopPlan = planStop(settings.stopWithinMs);
         this.quarantine = new QuarantineList(logger);
         this.crashReporter = new CrashReporter({
@@ -92,7 +96,11 @@
         this.limits = new EndpointLimits({
             logger,
             sendAll: facts => this.directory.castAll({ kind: "endpointLimits", facts }),
-            takePermits: wants => permits.take(wants),
+            takePermits: async wants => {
+                const grants = await permits.take(wants);
+                this.countPermits(wants, grants);
+                return grants;
+            },
             countGateways: () => this.directory.countGateways(),
         });
         this.staleTimer = setInterval(
@@ -193,6 +201,12 @@
         this.forwarder.forward(request, response);
     }
 
+    private countPermits(wants: PermitWant[], grants: PermitGrant[]): void {
+        const sum = (items: { count: number }[]) => items.reduce((total, item) => total + item.count, 0);
+        this.metrics.permits.inc({ outcome: "granted" }, sum(grants));
+        this.metrics.permits.inc({ outcome: "refused" }, sum(wants) - sum(grants));
+    }
+
     private handleReadinessCheck(request: IncomingMessage, response: ServerResponse): void {
         if (request.url !== this.codec.readyPath) {
             response.writeHead(404).end();
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -7,13 +7,27 @@
     firstByteSeconds: Histogram<"route">;
     active: Gauge;
     quarantined: Gauge<"subject">;
+    permits: Counter<"outcome">;
+}
+
+export interface GatewayMetricsOptions {
+    /** Counts the endpoints whose requests are limited. */
+    countLimited: () => number;
 }
 
 /** Bucket bounds in seconds: objectives are some hundred milliseconds, deadlines some seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8];
 
-export function registerGatewayMetrics(metrics: Registry): GatewayMetrics {
+export function registerGatewayMetrics(metrics: Registry, options: GatewayMetricsOptions): GatewayMetrics {
     const registers = [metrics];
+    new Gauge({
+        name: "kumquathall_gateway_limited_endpoints",
+        help: "Endpoints that get only as many requests as they name in their responses",
+        registers,
+        collect() {
+            this.set(options.countLimited());
+        },
+    });
     return {
         answers: new Counter({
             name: "kumquathall_gateway_answers_total",
@@ -40,6 +54,12 @@
             labelNames: ["subject"],
             registers,
         }),
+        permits: new Counter({
+            name: "kumquathall_gateway_permits_total",
+            help: "Permits to send to limited endpoints that were asked of control, by outcome",
+            labelNames: ["outcome"],
+            registers,
+        }),
         active: new Gauge({
             name: "kumquathall_gateway_active_requests",
             help: "Requests under way",
