--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -38,6 +38,10 @@
         meaning: "refused, has not run: no group could have answered in time",
         events: ["engine-lost", "engine-order"],
     },
+    "over-limit": {
+        meaning: "refused, has not run: the endpoints limit their requests, and none could take it in time",
+        events: ["endpoint-limit-changed", "endpoint-limit-named", "permits-not-granted"],
+    },
     "no-configuration": {
         meaning: "refused, has not run: the gateway had no configuration yet",
         events: ["started", "control-link-opened", "control-link-closed", "configuration-applied"],
@@ -75,7 +79,14 @@
 };
 
 /** Events that concern only the process that logs them, so that those of other gateways are not causes. */
-const PROCESS_EVENTS = ["started", "stopping", "control-link-opened", "control-link-closed", "configuration-applied"];
+const PROCESS_EVENTS = [
+    "started",
+    "stopping",
+    "control-link-opened",
+    "control-link-closed",
+    "configuration-applied",
+    "permits-not-granted",
+];
 
 /** Finds the lines of one request and the lines of other events that explain its end. */
 export function explainRequest(lines: LogLine[], requestId: string): RequestExplanation {
--- a/packages/log-story/src/logStory.feature
+++ b/packages/log-story/src/logStory.feature
@@ -19,6 +19,9 @@
             at=2026-01-01T00:01:46.000Z level=warn event=quarantined process=core-1 subject=request id=cd34 service=s crashes=3 endpoints="i-4@1,i-5@1,i-6@1"
             at=2026-01-01T00:03:00.000Z level=info event=request-ended process=front-1 requestId=bad status=503 cause=fenced sends=0 quarantined="request ab12" crashes=3
             at=2026-01-01T00:03:10.000Z level=info event=quarantine-released process=front-1 subject=request id=cd34 crashes=3
+            at=2026-01-01T00:04:00.000Z level=info event=endpoint-limit-changed process=core-1 endpoint=i-9@1 perSecond=1.33
+            at=2026-01-01T00:04:01.000Z level=info event=permits-not-granted process=front-2 message="no leader"
+            at=2026-01-01T00:04:02.000Z level=info event=request-ended process=front-1 requestId=limited status=503 cause=over-limit sends=0 limited=3
             not a line of ours
             """
 
@@ -50,3 +53,7 @@
 
     Scenario: What is quarantined is listed from log lines, without what was released
         Then the log lines say that "request ab12" is quarantined after crashes of "i-1@1,i-2@1,i-3@1"
+
+    Scenario: A refusal for a limit is explained by the limits that changed before it
+        Then "limited" ended with "status 503, over-limit: refused, has not run: the endpoints limit their requests, and none could take it in time"
+        And its causes are "endpoint-limit-changed core-1"
