Hold up to a limit of what an engine sends to its agent

What was seen: an agent of the product's own path read a response without an end into memory until the deadline, and so its engine's state (@agent-endless-answer, 64 MB read where the scenario stops).

A response without events is now read up to 16 MiB and an answer to an order or about the state up to 1 MiB, as in gateways and sidecars; above it the connection is closed and the run is broken off.

--- a/packages/agent/src/engineClient.ts
+++ b/packages/agent/src/engineClient.ts
@@ -1,6 +1,7 @@
 import { KumquathallError } from "@kumquathall/errors";
 import type { FencingNumber, HeaderField, ModelLoad, RunMessage } from "@kumquathall/types";
 import type { EventEmitter } from "node:events";
+import type { Readable } from "node:stream";
 import { Pool } from "undici";
 
 /** A request to the engine failed, or the engine refused an order. */
@@ -36,6 +37,9 @@
 
 const ORDER_TIMEOUT_MS = 600_000;
 const STATE_TIMEOUT_MS = 2000;
+/** Limits of what is held of a response without events, and of an answer to an order or about the state, in bytes. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+const MAX_STATE_BYTES = 1024 * 1024;
 const MAX_CONNECTIONS = 256;
 const DROPPED_HEADERS = new Set([
     "connection",
@@ -96,7 +100,7 @@
                 signal,
             });
             const { body } = response;
-            const readBody = async () => new Uint8Array(await body.arrayBuffer());
+            const readBody = () => readWithin(body, MAX_RESPONSE_BYTES);
             return { status: response.statusCode, headers: selectHeaders(response.headers), body, readBody };
         }
         catch (error) {
@@ -125,7 +129,7 @@
             headers: value === undefined ? {} : { "content-type": "application/json" },
             signal: AbortSignal.timeout(timeoutMs),
         });
-        const text = await response.body.text();
+        const text = Buffer.from(await readWithin(response.body, MAX_STATE_BYTES)).toString();
         if (response.statusCode >= 300) {
             throw new EngineError(`the engine responded with ${response.statusCode} to ${path}`, true);
         }
@@ -169,6 +173,20 @@
     }
 }
 
+/** Reads a whole body. Rejects with {@link EngineError} and closes the connection if it has more than `maxBytes`. */
+async function readWithin(body: Readable, maxBytes: number): Promise<Uint8Array> {
+    const chunks: Uint8Array[] = [];
+    let bytes = 0;
+    for await (const chunk of body as AsyncIterable<Uint8Array>) {
+        bytes += chunk.length;
+        if (bytes > maxBytes) {
+            throw new EngineError(`the response has more than the ${maxBytes} bytes that an agent holds`, false);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
+
 function selectHeaders(headers: Record<string, string | string[] | undefined>): HeaderField[] {
     const fields: HeaderField[] = [];
     for (const [name, value] of Object.entries(headers)) {
