Pace calls for permits and changes of limits by the number of gateways and endpoints

At 190 gateways and 12,000 limited endpoints, calls every 95 ms with 64 endpoints each would carry 90 KB/s on a gateway's link, where 10 KB/s are the target, and all changes at once 600 KB to each gateway. The interval between calls now grows with the endpoints in the last call, and changes go out at 200 a second.

--- a/packages/control/src/limitTask.ts
+++ b/packages/control/src/limitTask.ts
@@ -14,6 +14,10 @@
 const STALE_CHECK_MS = 5000;
 /** Changes within this time are sent to gateways together, in milliseconds. */
 const COALESCE_MS = 5;
+/** Time for each change that was sent before more are sent, in milliseconds: 10 KB/s on the link to a gateway. */
+const PACE_MS = 5;
+/** Changes in one cast. */
+const MAX_CHANGES = 64;
 /** Facts in one cast to a newly linked gateway. */
 const MAX_FACTS = 512;
 
@@ -27,6 +31,7 @@
     private readonly timer: NodeJS.Timeout;
     /** Endpoints whose limits have changed since the last cast to gateways. */
     private readonly changed = new Set<string>();
+    private nextFlushAt = 0;
     private flushTimer: NodeJS.Timeout | undefined;
     /** Term in which permits are granted. */
     private term: number | undefined;
@@ -50,7 +55,7 @@
             this.options.logger.info("endpoint-limit-changed", { endpoint, perSecond: perSecond ?? "unlimited" });
             this.changed.add(endpoint);
         }
-        this.flushTimer ??= setTimeout(() => this.flush(), COALESCE_MS);
+        this.scheduleFlush(now);
     }
 
     /** Sends the known limits to a gateway, and changes from now on. */
@@ -91,12 +96,21 @@
         clearTimeout(this.flushTimer);
     }
 
+    private scheduleFlush(now: number): void {
+        this.flushTimer ??= setTimeout(() => this.flush(), Math.max(COALESCE_MS, this.nextFlushAt - now));
+    }
+
     private flush(): void {
         this.flushTimer = undefined;
         const now = performance.now();
-        const facts = [...this.changed].flatMap(endpoint => this.arbiter.board.findFact(endpoint, now) ?? []);
-        this.changed.clear();
+        const endpoints = [...this.changed].slice(0, MAX_CHANGES);
+        endpoints.forEach(endpoint => this.changed.delete(endpoint));
+        const facts = endpoints.flatMap(endpoint => this.arbiter.board.findFact(endpoint, now) ?? []);
         this.watchers.forEach(link => link.cast({ kind: "endpointLimits", facts }));
+        this.nextFlushAt = now + endpoints.length * PACE_MS;
+        if (this.changed.size > 0) {
+            this.scheduleFlush(now);
+        }
     }
 
     /** Whether this member forwards changes: the leader does, and every member that knows no leader. */
--- a/packages/gateway/src/endpointLimits.ts
+++ b/packages/gateway/src/endpointLimits.ts
@@ -31,8 +31,12 @@
 const MAX_INVALID = 1000;
 /** Facts within this time are sent to control together, in milliseconds. */
 const COALESCE_MS = 5;
-/** Interval between calls for permits for each gateway that shares the leader, in milliseconds. */
-const CALL_INTERVAL_PER_GATEWAY_MS = 0.5;
+/** Time for each fact that was sent before more are sent, in milliseconds. */
+const PACE_MS = 10;
+/** Interval between calls for permits for each gateway that shares the leader, in milliseconds: 1000 calls a second. */
+const CALL_INTERVAL_PER_GATEWAY_MS = 1;
+/** A call for more endpoints than this lengthens the interval, so that links carry a bounded number of them. */
+const WANTS_PER_INTERVAL = 10;
 /** Endpoints in one call; those that most requests want come first. */
 const MAX_WANTS = 64;
 /** Interval between calls while no leader answers, in milliseconds. */
@@ -52,11 +56,14 @@
     private readonly invalidLoggedAt = new Map<string, number>();
     /** Newest facts that control has not been sent, by endpoint, with the time at which they were recorded. */
     private readonly unsent = new Map<string, { fact: LimitFact; at: number }>();
+    private nextSendAt = 0;
     private sendTimer: NodeJS.Timeout | undefined;
     private callTimer: NodeJS.Timeout | undefined;
     private isCalling = false;
     private endedCalls = 0;
     private lastCallAt = Number.NEGATIVE_INFINITY;
+    /** Number of endpoints in the last call. */
+    private lastWants = 0;
     /** No leader answered the last call. */
     private isDetached = false;
 
@@ -170,7 +177,7 @@
         }
         this.reportChange(fact);
         this.unsent.set(fact.endpoint, { fact, at: now });
-        this.sendTimer ??= setTimeout(() => this.sendFacts(), COALESCE_MS);
+        this.sendTimer ??= setTimeout(() => this.sendFacts(), Math.max(COALESCE_MS, this.nextSendAt - now));
     }
 
     private sendFacts(): void {
@@ -178,6 +185,7 @@
         const now = performance.now();
         const facts = [...this.unsent.values()].map(({ fact, at }) => ({ ...fact, ageMs: fact.ageMs + now - at }));
         this.unsent.clear();
+        this.nextSendAt = now + facts.length * PACE_MS;
         this.options.sendAll(facts);
     }
 
@@ -220,7 +228,8 @@
         }
         const intervalMs = this.isDetached
             ? DETACHED_CALL_INTERVAL_MS
-            : this.options.countGateways() * CALL_INTERVAL_PER_GATEWAY_MS;
+            : this.options.countGateways() * CALL_INTERVAL_PER_GATEWAY_MS
+                * Math.max(1, this.lastWants / WANTS_PER_INTERVAL);
         const delayMs = Math.max(0, this.lastCallAt + intervalMs - now);
         this.callTimer ??= setTimeout(() => void this.callForPermits(), delayMs);
     }
@@ -232,6 +241,7 @@
             return;
         }
         this.lastCallAt = performance.now();
+        this.lastWants = wants.length;
         this.isCalling = true;
         try {
             const grants = await this.options.takePermits(wants);
