--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -176,13 +176,16 @@
         times: EndpointChoiceTimes,
     ): EndpointChoice {
         const { limits } = this.options;
+        const isFirstCall = this.wanted === undefined;
         const afterCall = this.wanted?.key === endpoint.key ? this.wanted.afterCall : undefined;
         this.wanted = { key: endpoint.key, afterCall: limits.askForPermit(endpoint.key, times.now, afterCall) };
         if (choice.endpoint !== undefined && choice.isOnTime) {
             return choice;
         }
         const waitMs = limits.getWaitMs(endpoint.key, times.now);
-        if (waitMs === 0 || waitMs + predictedMs <= times.timeToObjectiveMs) {
+        // A call decides at once; a request that is late waits for one call at most.
+        const isCallWorthwhile = waitMs === 0 && (isFirstCall || times.timeToObjectiveMs > 0);
+        if (isCallWorthwhile || waitMs + predictedMs <= times.timeToObjectiveMs) {
             return { ...choice, endpoint: undefined, permitWaitMs: waitMs };
         }
         if (choice.endpoint !== undefined) {
