--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,6 +3,7 @@
 import "./configuration.js";
 import "./groups.js";
 import "./ledger.js";
+import "./limits.js";
 import "./overhead.js";
 import "./slopes.js";
 
