Log and count the times at which a process stood still, and what was in flight at its end

What callers saw: requests that ended without an answer, with no logs of how.

Today's logs can't tell a silent endpoint from a gateway that stood still itself, since in both the stall timer expires first; and process-failed doesn't say whether requests were lost with the process.

Nothing decides by either.

--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -166,6 +166,10 @@
             && !this.reader.isBehind(performance.now());
     }
 
+    countInFlight(): Record<string, number> {
+        return { requests: this.forwarder.countActive() };
+    }
+
     /** Fails the readiness check, serves requests that still arrive, and resolves when all have ended or time is up. */
     async drain(): Promise<void> {
         const startedAt = performance.now();
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -5,6 +5,7 @@
 import { OperationsServer } from "./operationsServer.js";
 import type { RoleContext, RunningRole } from "./plugin.js";
 import { getRolePlugin } from "./registry.js";
+import { StallMonitor } from "./stallMonitor.js";
 import { TlsFiles } from "./tlsFiles.js";
 
 export interface KernelOptions {
@@ -25,6 +26,7 @@
     private readonly metrics = new Registry();
     private operations: OperationsServer | undefined;
     private tlsFiles: TlsFiles | undefined;
+    private stallMonitor: StallMonitor | undefined;
     private stopping: Promise<void> | undefined;
 
     private constructor(private readonly options: KernelOptions) {}
@@ -47,6 +49,11 @@
         return this.stopping === undefined && this.roles.every(role => role.isReady());
     }
 
+    /** Counts the work that is lost if the process ends now, by kind. */
+    countInFlight(): Record<string, number> {
+        return Object.fromEntries(this.roles.flatMap(role => Object.entries(role.countInFlight?.() ?? {})));
+    }
+
     /** Stops gracefully. Further calls wait for the first to finish. */
     stop(): Promise<void> {
         this.stopping ??= this.drainAndClose();
@@ -58,6 +65,7 @@
         if (this.options.withProcessMetrics === true) {
             // At the default precision, the sampling timer fires a hundred times a second even in an idle process.
             collectDefaultMetrics({ register: this.metrics, eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS });
+            this.stallMonitor = new StallMonitor({ logger, metrics: this.metrics });
         }
         this.tlsFiles = settings.tls === undefined ? undefined : new TlsFiles(settings.tls, logger);
         const tlsFiles = this.tlsFiles;
@@ -94,5 +102,6 @@
         }
         await this.operations?.close();
         this.tlsFiles?.close();
+        this.stallMonitor?.close();
     }
 }
--- a/packages/kernel/src/plugin.ts
+++ b/packages/kernel/src/plugin.ts
@@ -19,6 +19,8 @@
 export interface RunningRole {
     /** Whether the role can take traffic. */
     isReady(): boolean;
+    /** Counts the work that is lost if the process ends now, by kind. */
+    countInFlight?(): Record<string, number>;
     /** Refuses new work and resolves when the work in flight is finished. */
     drain(): Promise<void>;
     /** Closes sockets and files. Called once, with or without `drain` before it. */
