Move the tracker of engine orders beside the planner; the simulated fleet uses it and can carry orders out late

The simulation kept a second, simpler record of what was ordered, in which no order is ever pending. It now uses the tracker of the control member, so that orders that take effect late, or never, are planned for as on a real leader.

--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -1,7 +1,7 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
 import { getTraffic } from "@kumquathall/control-state";
 import { EndpointRegistry, type EndpointView, FactEffect } from "@kumquathall/endpoint-registry";
-import { LoadBudget, planEngineOrders, type PlannedOrder } from "@kumquathall/engine-groups";
+import { LoadBudget, OrderTracker, planEngineOrders, type PlannedOrder } from "@kumquathall/engine-groups";
 import { estimateServiceMs } from "@kumquathall/engine-model";
 import { castToAll, type Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
@@ -16,7 +16,6 @@
 } from "@kumquathall/types";
 import type { ControlStateMachine } from "./controlStateMachine.js";
 import { FactFilter, hasOnlyLoadChange } from "./factFilter.js";
-import { OrderTracker } from "./orderTracker.js";
 import { isFleetSettled } from "./settling.js";
 
 export interface EndpointTaskOptions {
--- a/packages/engine-groups/src/index.ts
+++ b/packages/engine-groups/src/index.ts
@@ -2,4 +2,5 @@
 export { formatGroupName, type GroupName, parseGroupName } from "./groupName.js";
 export { type EngineGroup, formatGroupKey, listEngineGroups } from "./listGroups.js";
 export { LoadBudget, type LoadBudgetOptions } from "./loadBudget.js";
+export { OrderTracker } from "./orderTracker.js";
 export { type OrderPlanInput, planEngineOrders, type PlannedOrder } from "./planOrders.js";
--- a/packages/engine-groups/src/planOrders.steps.ts
+++ b/packages/engine-groups/src/planOrders.steps.ts
@@ -4,6 +4,9 @@
 import { parseGroupName } from "./groupName.js";
 import { EngineFleet } from "./testing/engineFleet.js";
 
+/** Time from a crash of an engine to its restart, in milliseconds. */
+const CRASH_MS = 1500;
+
 let profile: EngineProfile;
 let fleet: EngineFleet;
 let violations: string[] = [];
@@ -134,6 +137,29 @@
     },
 );
 
+When(
+    "engines leave {float} of the orders unanswered and carry them out late, and {int} crash every {int} ms for {int} ms with each of {int} seeds",
+    (share: number, count: number, everyMs: number, lastsMs: number, seeds: number) => {
+        violations = [];
+        for (let seed = 1; seed <= seeds; seed++) {
+            const random = createRandom(seed);
+            fleet = createFleet();
+            fleet.advance(8000);
+            fleet.isBeforeTraffic = false;
+            fleet.lateOrders = { share, random };
+            for (const endsAt = fleet.now + lastsMs; fleet.now < endsAt;) {
+                const engines = fleet.listEngines();
+                const crashed = Array.from({ length: count }, () => engines[Math.floor(random() * engines.length)].id);
+                crashed.forEach(id => fleet.crash(id));
+                fleet.advance(CRASH_MS);
+                crashed.forEach(id => fleet.restart(id));
+                fleet.advance(everyMs - CRASH_MS);
+            }
+            violations.push(...fleet.violations.map(text => `seed ${seed}: ${text}`));
+        }
+    },
+);
+
 /** Crashes members of serving groups, one domain after another, and adds engines to random domains. */
 function runLossesAndAdditions(seed: number, lossEveryMs: number, additionEveryMs: number, lastsMs: number): void {
     const random = createRandom(seed);
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -1,6 +1,7 @@
 import type { EndpointView } from "@kumquathall/endpoint-registry";
 import { EngineGroupState, type EngineModelProfile, type EngineOrder, type EngineProfile } from "@kumquathall/types";
 import { LoadBudget } from "../loadBudget.js";
+import { OrderTracker } from "../orderTracker.js";
 import { planEngineOrders, type PlannedOrder } from "../planOrders.js";
 
 interface FleetEngine {
@@ -15,6 +16,18 @@
 
 const STEP_MS = 40;
 const WARM_JOIN_MS = 200;
+/** Time from the end of a group's formation until the head reports that it serves, in milliseconds. */
+const OPEN_MARGIN_MS = 500;
+/** Time after which an order that was not answered takes effect, in milliseconds: from the first to the second. */
+const LATE_FROM_MS = 2000;
+const LATE_TO_MS = 12_000;
+
+interface LateOrder {
+    id: string;
+    bornMs: number;
+    order: EngineOrder;
+    dueAt: number;
+}
 
 /** Simulated engines that execute orders in virtual time by the published rules, with the real planner as leader. */
 export class EngineFleet {
@@ -26,6 +39,9 @@
     readonly hidden = new Set<string>();
     /** What the planner knows, from heartbeats only, of endpoints whose sidecar has started again and read nothing. */
     private readonly heartbeats = new Map<string, EndpointView>();
+    /** Share of the orders that engines leave unanswered and carry out late, and the random numbers by which. */
+    lateOrders: { share: number; random: () => number } | undefined;
+    private pendingLate: LateOrder[] = [];
     /** Part of its usual work that each head accepts which limits its requests, by id. */
     readonly acceptedParts = new Map<string, number>();
     readonly orders: PlannedOrder[] = [];
@@ -34,9 +50,7 @@
     /** Orders that wasted time or loads, as text. */
     readonly wastedOrders: string[] = [];
     private readonly engines = new Map<string, FleetEngine>();
-    /** Members by group key, as ordered. */
-    private readonly orderedMembers = new Map<string, string[]>();
-    private readonly openedAt = new Map<string, number>();
+    private readonly tracker = new OrderTracker();
     private readonly budget: LoadBudget;
     private epoch = 0;
     private nextId = 1;
@@ -77,7 +91,7 @@
 
     /** Replaces the leader by one that does not know its predecessor's orders. */
     resetLeader(): void {
-        this.orderedMembers.clear();
+        this.tracker.clear();
     }
 
     /** Crashes a member of an open group of a model; returns its id. */
@@ -144,6 +158,7 @@
         while (this.now < endsAt) {
             this.now += STEP_MS;
             this.engines.forEach(engine => this.advanceEngine(engine));
+            this.executeLate();
             this.plan();
         }
     }
@@ -187,10 +202,12 @@
     }
 
     private plan(): void {
+        const views = this.listEngines().filter(view => !this.hidden.has(view.id)).map(view =>
+            this.heartbeats.get(view.id) ?? view
+        );
+        views.forEach(view => this.tracker.applyReport(view, this.now));
         const planned = planEngineOrders({
-            views: this.listEngines().filter(view => !this.hidden.has(view.id)).map(view =>
-                this.heartbeats.get(view.id) ?? view
-            ),
+            views,
             profile: this.profile,
             now: this.now,
             isBeforeTraffic: this.isBeforeTraffic,
@@ -199,17 +216,38 @@
             isPartitionWindowOver: this.isPartitionWindowOver,
             fence: 1,
             createEpoch: () => ++this.epoch,
-            isOrderPending: () => false,
+            isOrderPending: view => this.tracker.isPending(view, this.now),
             admitLoad: (durationMs, reservedSlots) =>
                 this.isBeforeTraffic || this.budget.admitLoad(this.now, durationMs, reservedSlots),
-            getOrderedMembers: key => this.orderedMembers.get(key),
-            isOpening: key => this.now - (this.openedAt.get(key) ?? Number.NEGATIVE_INFINITY) < 800,
-            getStagingModel: view => this.engines.get(view.id)?.staging?.model,
+            getOrderedMembers: key => this.tracker.getMembers(key),
+            isOpening: key => this.tracker.isOpening(key, this.now, this.profile.formationMs + OPEN_MARGIN_MS),
+            getStagingModel: view => this.tracker.getStagingModel(view),
             getAcceptedPart: head => this.acceptedParts.get(head.id) ?? 1,
         });
         for (const item of planned) {
             this.orders.push(item);
-            this.execute(item.target.id, item.order);
+            this.send(item);
+        }
+    }
+
+    private send({ target, order }: PlannedOrder): void {
+        this.tracker.recordOrder(target, order, this.now);
+        const { lateOrders } = this;
+        if (lateOrders !== undefined && lateOrders.random() < lateOrders.share) {
+            const dueAt = this.now + LATE_FROM_MS + lateOrders.random() * (LATE_TO_MS - LATE_FROM_MS);
+            this.pendingLate.push({ id: target.id, bornMs: target.bornMs, order, dueAt });
+            return;
+        }
+        this.execute(target.id, order);
+    }
+
+    private executeLate(): void {
+        const due = this.pendingLate.filter(late => late.dueAt <= this.now);
+        this.pendingLate = this.pendingLate.filter(late => late.dueAt > this.now);
+        for (const { id, bornMs, order } of due) {
+            if (this.engines.get(id)?.view.bornMs === bornMs) {
+                this.execute(id, order);
+            }
         }
     }
 
@@ -221,7 +259,6 @@
             return;
         }
         if (order.kind === "join") {
-            this.orderedMembers.set(`${order.group}@${order.epoch}`, order.members);
             this.checkJoin(engine, order.group, order.epoch);
             if (
                 engine.staging !== undefined && engine.staging.model !== order.model && engine.lastModel !== order.model
@@ -247,13 +284,11 @@
             });
         }
         else if (order.kind === "open") {
-            this.openedAt.set(`${order.group}@${order.epoch}`, this.now);
             engine.openAt = this.now + this.profile.formationMs;
             this.checkComplete(engine);
             this.applyOrder(engine, {});
         }
         else if (order.kind === "leave") {
-            this.orderedMembers.set(`${order.group}@${order.epoch}`, []);
             this.applyOrder(engine, { group: undefined });
         }
         else if (order.kind === "stage") {
