Log which members hold a confirmed configuration, and what a member recovers

What callers saw: accepted configurations that may have been lost, with no logs of where they were stored.

An acknowledgement didn't say who held it, log-recovered counted entries without naming a version, and a publish without a clear answer left no line.

A counter of publishes by outcome and reason, and a gauge of the newest applied version. Nothing decides by any of it.

--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -35,6 +35,14 @@
     return state.snapshotMembers;
 }
 
+/** Members whose disks hold the log up to an index, as far as this member knows. Only the leader knows of others. */
+export function listHolders(state: ConsensusState<unknown>, index: number): string[] {
+    return getMembers(state).filter(member => {
+        const held = member === state.id ? state.durableIndex : state.peers[member]?.matchIndex ?? 0;
+        return held >= index;
+    });
+}
+
 /** Number of members that form a majority. */
 export function countMajority(members: readonly string[]): number {
     return Math.floor(members.length / 2) + 1;
--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -3,7 +3,7 @@
 import type { LogStore, RecoveredState } from "@kumquathall/storage";
 import type { HardState, LogEntry, LogPayload, Snapshot } from "@kumquathall/types";
 import { canServeRead } from "./lease.js";
-import { getEntries, getLastIndex, getMembers, getTermAt } from "./log.js";
+import { getEntries, getLastIndex, getMembers, getTermAt, listHolders } from "./log.js";
 import { PayloadSizes } from "./payloadSizes.js";
 import {
     type ConsensusEffect,
@@ -136,6 +136,11 @@
         return getMembers(this.state);
     }
 
+    /** Members whose disks hold the log up to an index, as far as this member knows. Only the leader knows of others. */
+    listHolders(index: number): string[] {
+        return listHolders(this.state, index);
+    }
+
     /** Whether this member may serve reads and issue orders: it holds the lease and has applied all commits. */
     canServe(): boolean {
         return this.appliedIndex >= this.state.commitIndex && canServeRead(this.state, performance.now(), this.timing);
--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -24,11 +24,13 @@
 import { readMemberIdentity } from "./memberIdentity.js";
 import { MembershipTask } from "./membershipTask.js";
 import { registerControlMetrics } from "./metrics.js";
+import { PublishRecorder } from "./publishRecorder.js";
 import { QuarantineTask } from "./quarantineTask.js";
+import { describeRecovery } from "./recoveryReport.js";
 import { buildRevisionReport } from "./revisionReport.js";
 import { listSnapshotParts, type SnapshotPart, SnapshotReceiver } from "./snapshotTransfer.js";
 import { buildStatus } from "./status.js";
-import { TrafficPublisher } from "./trafficPublisher.js";
+import { type PublishReceipt, TrafficPublisher } from "./trafficPublisher.js";
 
 /** A consensus message between two members, or one part of a snapshot. */
 type MemberCast =
@@ -61,6 +63,7 @@
     private leaderTask!: LeaderTask;
     private leaderCaller!: LeaderCaller;
     private trafficPublisher!: TrafficPublisher;
+    private publishRecorder!: PublishRecorder;
     private membershipTask: MembershipTask | undefined;
     private endpointTask: EndpointTask | undefined;
     private quarantineTask: QuarantineTask | undefined;
@@ -93,8 +96,16 @@
      * Publishes a traffic configuration, unless this version or a newer one is in force. Rejects with
      * {@link ConfigurationSizeError} if it is too large, and with {@link KumquathallError} if no leader confirms it.
      */
-    async publishTraffic(traffic: TrafficConfiguration, document: string): Promise<void> {
-        await this.trafficPublisher.publish(traffic, document);
+    async publishTraffic(traffic: TrafficConfiguration, document: string): Promise<PublishReceipt> {
+        try {
+            const receipt = await this.trafficPublisher.publish(traffic, document);
+            this.publishRecorder.recordReceipt(receipt);
+            return receipt;
+        }
+        catch (error) {
+            this.publishRecorder.recordFailure(traffic.version, error);
+            throw error;
+        }
     }
 
     /**
@@ -150,12 +161,6 @@
     private async open(): Promise<void> {
         const { context, settings } = this;
         const { store, recovered } = await LogStore.open<Command>({ disk: new NodeDisk(settings.dataFolder) });
-        context.logger.info("log-recovered", {
-            snapshot: recovered.snapshot?.index ?? 0,
-            entries: recovered.entries.length,
-            term: recovered.hardState.term,
-            cutBytes: recovered.cutBytes,
-        });
         this.runtime = new ConsensusRuntime<Command, CommandResult>({
             id: this.id,
             members: this.members,
@@ -168,6 +173,7 @@
             onFatal: error => context.fail(error),
             onApplied: () => this.distributor.scheduleAnnouncement(),
         });
+        context.logger.info("log-recovered", describeRecovery(this.runtime, this.stateMachine, recovered));
         this.leaderTask = new LeaderTask({
             runtime: this.runtime,
             stateMachine: this.stateMachine,
@@ -186,6 +192,11 @@
             stateMachine: this.stateMachine,
             callLeader: (call, timeoutMs) => this.leaderCaller.call(call, timeoutMs),
         });
+        this.publishRecorder = new PublishRecorder({
+            runtime: this.runtime,
+            metrics: context.metrics,
+            logger: context.logger,
+        });
         this.openTasks();
         registerControlMetrics(context.metrics, this.runtime, this.stateMachine);
         this.listener = await LinkListener.listen({
@@ -393,7 +404,9 @@
 
     private async propose(command: Command): Promise<ControlAnswer> {
         try {
-            return { kind: "result", result: await this.runtime.propose(command) };
+            const result = await this.runtime.propose(command);
+            this.publishRecorder.recordResult(command, result);
+            return { kind: "result", result };
         }
         catch (error) {
             return error instanceof ConsensusError
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -9,7 +9,13 @@
 export { type MemberChange, type MembershipInput, planMembership } from "./planMembership.js";
 export { decidePresence, type EntryReport, type PresenceInput, type PresenceOptions } from "./presence.js";
 export { ShareTable } from "./shareTable.js";
-export { ConfigurationSizeError, TrafficPublisher, type TrafficPublisherOptions } from "./trafficPublisher.js";
+export {
+    ConcurrentPublishError,
+    ConfigurationSizeError,
+    type PublishReceipt,
+    TrafficPublisher,
+    type TrafficPublisherOptions,
+} from "./trafficPublisher.js";
 import { registerRolePlugin } from "@kumquathall/kernel";
 import { ControlPlugin } from "./controlPlugin.js";
 
--- a/packages/control/src/membershipTask.ts
+++ b/packages/control/src/membershipTask.ts
@@ -89,7 +89,8 @@
         if (this.changingSince !== undefined && now - this.changingSince < CHANGE_TIMEOUT_MS) {
             return;
         }
-        const state = this.options.runtime.getState();
+        const { runtime } = this.options;
+        const state = runtime.getState();
         const leaderSince = this.leaderSince ?? now;
         const change = planMembership({
             members,
@@ -102,8 +103,13 @@
             return;
         }
         this.changingSince = now;
-        this.options.logger.info("control-member-change", { change: change.kind, member: change.member });
-        this.options.runtime.proposeMembers(change.members)
+        this.options.logger.info("control-member-change", {
+            change: change.kind,
+            member: change.member,
+            members: change.members.length,
+            copies: runtime.listHolders(state.commitIndex).filter(member => change.members.includes(member)).length,
+        });
+        runtime.proposeMembers(change.members)
             .catch(error => this.options.logger.warn("member-change-failed", { message: describeError(error) }))
             .finally(() => {
                 this.changingSince = undefined;
--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -1,5 +1,5 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
-import { computeInstitutionMetrics, listSuspects } from "@kumquathall/control-state";
+import { computeInstitutionMetrics, getTraffic, listSuspects } from "@kumquathall/control-state";
 import type { Command, CommandResult } from "@kumquathall/types";
 import { Gauge, type Registry } from "prom-client";
 import type { ControlStateMachine } from "./controlStateMachine.js";
@@ -33,6 +33,12 @@
         "Configuration revision",
         () => stateMachine.getState().configuration.revision,
     );
+    addGauge(
+        registers,
+        "kumquathall_configuration_version",
+        "Version of the newest traffic configuration that this member has applied",
+        () => getTraffic(stateMachine.getState().configuration)?.version ?? 0,
+    );
     addGauge(
         registers,
         "kumquathall_ledger_keys",
--- a/packages/control/src/trafficPublisher.ts
+++ b/packages/control/src/trafficPublisher.ts
@@ -8,6 +8,17 @@
 /** A configuration is too large to be replicated; the message names the limit and the remedy. */
 export class ConfigurationSizeError extends KumquathallError {}
 
+/** Other versions were published at the same time, so that no change of the version in force could be committed. */
+export class ConcurrentPublishError extends KumquathallError {}
+
+/** Confirms a publish. */
+export interface PublishReceipt {
+    /** Log index at which the leader has handled it or, if nothing was proposed, the revision in force here. */
+    revision: number;
+    /** Whether this member had applied this version or a newer one, so that nothing was proposed. */
+    isRepeated: boolean;
+}
+
 export interface TrafficPublisherOptions {
     stateMachine: ControlStateMachine;
     /** Calls the leader; rejects if none answers within the time, in milliseconds. */
@@ -31,21 +42,22 @@
      * Publishes a traffic configuration, unless this version or a newer one is in force. Rejects with
      * {@link ConfigurationSizeError} if it is too large, and with {@link KumquathallError} if no leader confirms it.
      */
-    async publish(traffic: TrafficConfiguration, document: string): Promise<void> {
+    async publish(traffic: TrafficConfiguration, document: string): Promise<PublishReceipt> {
         const endsAt = performance.now() + PUBLISH_TIMEOUT_MS;
         for (let attempt = 1;; attempt++) {
             const command = this.buildCommand(traffic, document, attempt <= MAX_CHANGE_ATTEMPTS);
             if (command === undefined) {
-                return;
+                return { revision: this.options.stateMachine.getState().configuration.revision, isRepeated: true };
             }
             const answer = await this.options.callLeader({ kind: "propose", command }, endsAt - performance.now());
             const isStale = answer.kind === "result" && answer.result.kind === "refused"
                 && answer.result.code === "stale";
             if (!isStale) {
-                return;
+                const result = answer.kind === "result" ? answer.result : undefined;
+                return { revision: result?.kind === "accepted" ? result.revision : 0, isRepeated: false };
             }
             if (performance.now() + STALE_PAUSE_MS >= endsAt) {
-                throw new KumquathallError("other versions were published at the same time; send the call again");
+                throw new ConcurrentPublishError("other versions were published at the same time; send the call again");
             }
             await new Promise(resolve => setTimeout(resolve, STALE_PAUSE_MS));
         }
