--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,63 +1,23 @@
-import type { Logger } from "@kumquathall/logger";
-import { RequestKind, type SuspectRecord, type TrafficAccount, type TrafficRoute } from "@kumquathall/types";
-import type { IncomingMessage, ServerResponse } from "node:http";
-import type { ByteBudget } from "./byteBudget.js";
-import type { CrashReporter } from "./crashReporter.js";
+import { RequestKind, type SuspectRecord } from "@kumquathall/types";
+import { CallerResponse } from "./callerResponse.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
-import type { EndpointLimits } from "./endpointLimits.js";
-import { type Attempt, listRawHeaders } from "./endpointPool.js";
-import type { EndpointTracker, SentRequest, TrackedEndpoint } from "./endpointTracker.js";
+import { listRawHeaders } from "./endpointPool.js";
+import type { SentRequest, TrackedEndpoint } from "./endpointTracker.js";
 import { EventStreamParser } from "./eventStreamParser.js";
-import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
+import type { ForwardedRequestOptions } from "./forwardedRequestOptions.js";
 import { HeldAnswer } from "./heldAnswer.js";
-import type { HttpHeaderCodec, RequestHead, ResponseHead } from "./httpHeaderCodec.js";
-import type { GatewayMetrics } from "./metrics.js";
-import { describeQuarantine, formatSuspect, type QuarantineList } from "./quarantineList.js";
-import { type Refusal, RefusalCause, refuse } from "./refusal.js";
+import { describeQuarantine } from "./quarantineList.js";
+import { type Refusal, RefusalCause } from "./refusal.js";
+import { RequestRecorder } from "./requestRecorder.js";
 import { RequestSubjects } from "./requestSubjects.js";
 import { RequestTiming } from "./requestTiming.js";
-import type { RouteTable } from "./routeTable.js";
-import type { SharedRetryBudget } from "./sharedRetryBudget.js";
-
-export interface ForwardedRequestOptions {
-    request: IncomingMessage;
-    response: ServerResponse;
-    body: Buffer;
-    /** Monotonic time at which the request's headers arrived, in milliseconds. */
-    arrivedAt: number;
-    head: RequestHead;
-    route: TrafficRoute;
-    account: TrafficAccount | undefined;
-    service: string;
-    table: RouteTable;
-    /** Version by which the request was accepted. */
-    configurationVersion: number;
-    tracker: EndpointTracker;
-    codec: HttpHeaderCodec;
-    logger: Logger;
-    metrics: GatewayMetrics;
-    budget: SharedRetryBudget;
-    bias: FirstEventBiasEstimator;
-    /** Estimated time between the caller's first attempt and the arrival of this request, in milliseconds. */
-    ageMs: number;
-    limits: EndpointLimits;
-    quarantine: QuarantineList;
-    crashReporter: CrashReporter;
-    /** Bytes of responses without events that all requests may hold. */
-    answerBytes: ByteBudget;
-    onEnd: () => void;
-}
+import { MIN_ATTEMPT_MS, RetryAllowance } from "./retryAllowance.js";
+import { hasFraming, recordNotices, type RunningAttempt, STATUS_MISDIRECTED } from "./runningAttempt.js";
 
 /** Interval between choices of an endpoint while none is available to continue a stream, in milliseconds. */
 const CHOICE_RETRY_MS = 20;
 /** A call for permits ends within this time, in milliseconds. */
 const PERMIT_WAIT_MS = 300;
-/** No attempt is started with less than this time to the deadline, in milliseconds. */
-const MIN_ATTEMPT_MS = 20;
-/** The request is refused after this many endpoints rejected it without running it. */
-const MAX_REJECTIONS = 3;
-/** A request is not sent again after this many endpoints were lost while they ran it. */
-const MAX_LOST_ENDPOINTS = 3;
 /** An endpoint that refused a connection or stalled gets no new requests for this long, in milliseconds. */
 const AVOID_AFTER_FAILURE_MS = 500;
 /** Endpoints serve priority 0 first and 9 last. Requests that miss their objective yield to those that can meet it. */
@@ -65,43 +25,26 @@
 /** Limits of one event and of what a caller has not read, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
-const STATUS_MISDIRECTED = 421;
 const FIRST_SERVER_ERROR = 500;
 
-/** One attempt in flight. */
-interface RunningAttempt {
-    endpoint: TrackedEndpoint;
-    sent: SentRequest;
-    handle: Attempt;
-    parser: EventStreamParser;
-    responseHead: ResponseHead | undefined;
-    status: number;
-    headers: Record<string, string | string[] | undefined>;
-    answer: HeldAnswer;
-}
-
 /** Forwards one request, whose body is complete, until the caller has its final response. */
 export class ForwardedRequest {
     private readonly triedKeys = new Set<string>();
     private attempt: RunningAttempt | undefined;
-    /** Endpoints that may have run the request, not counting those that were lost while they ran it. */
-    private usedEndpoints = 0;
-    private lostEndpoints = 0;
     private readonly subjects: RequestSubjects;
     /** Record of the quarantine by which the request is refused. */
     private quarantineRecord: SuspectRecord | undefined;
-    private rejections = 0;
     private sends = 0;
-    private mayHaveRun = false;
     private isFinished = false;
     private lastEventId: number | undefined;
-    private firstByteAt: number | undefined;
     private readonly chooser: EndpointChooser;
     /** The latest choice of an endpoint. */
     private choice: EndpointChoice | undefined;
     private retryAfterMs: number | undefined;
-    private lastByteAt = 0;
+    private readonly answer: CallerResponse;
+    private readonly recorder: RequestRecorder;
     private readonly timing: RequestTiming;
+    private readonly retries: RetryAllowance;
     private readonly deadlineTimer: NodeJS.Timeout;
     private choiceTimer: NodeJS.Timeout | undefined;
     /** Cancels a wait for permits. */
@@ -110,6 +53,8 @@
 
     constructor(private readonly options: ForwardedRequestOptions) {
         const { head, route, arrivedAt, response } = options;
+        this.answer = new CallerResponse({ response, codec: options.codec, requestId: head.requestId });
+        this.recorder = new RequestRecorder(options);
         this.chooser = new EndpointChooser(options);
         this.subjects = new RequestSubjects({
             account: options.account?.name,
@@ -121,6 +66,7 @@
             crashReporter: options.crashReporter,
         });
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
+        this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
         this.lastEventId = head.lastEventId;
         this.deadlineTimer = setTimeout(() => this.handleDeadline(), this.timing.getRemainingMs(performance.now()));
         response.on("close", () => this.handleCallerDisconnect());
@@ -131,11 +77,6 @@
         this.sendNext();
     }
 
-    private isRepeatable(): boolean {
-        const { kind, isResumable } = this.options.route;
-        return kind === RequestKind.Idempotent || (kind === RequestKind.Streaming && isResumable);
-    }
-
     /** Sends to the best endpoint or refuses at once. A started stream waits for a group that can continue it. */
     private sendNext(): void {
         this.choiceTimer = undefined;
@@ -153,7 +94,7 @@
             this.sendTo(choice.endpoint);
             return;
         }
-        if (this.firstByteAt !== undefined) {
+        if (this.answer.hasBegun()) {
             this.waitForPermit(CHOICE_RETRY_MS);
             return;
         }
@@ -185,14 +126,14 @@
         this.choice = this.chooser.choose(this.triedKeys, {
             now,
             timeToObjectiveMs: this.getTimeToObjectiveMs(now),
-            timeToAbandonmentMs: this.timing.getTimeToAbandonmentMs(now, this.lastByteAt),
+            timeToAbandonmentMs: this.timing.getTimeToAbandonmentMs(now, this.answer.lastByteAt),
         });
         return this.choice;
     }
 
     /** A started stream may use all the time to its deadline: refusing it would waste the work done so far. */
     private getTimeToObjectiveMs(now: number): number {
-        return this.firstByteAt === undefined ? this.timing.getTimeToObjectiveMs(now) : this.timing.getRemainingMs(now);
+        return !this.answer.hasBegun() ? this.timing.getTimeToObjectiveMs(now) : this.timing.getRemainingMs(now);
     }
 
     private sendTo(endpoint: TrackedEndpoint): void {
@@ -241,7 +182,7 @@
                 path: request.url ?? "/",
                 headers,
                 body,
-                isRepeatable: this.isRepeatable(),
+                isRepeatable: this.retries.isRepeatable(),
             },
             {
                 onHead: (status, responseHeaders) => this.handleHead(attempt, status, responseHeaders),
@@ -257,8 +198,7 @@
         clearTimeout(this.stallTimer);
         this.stallTimer = setTimeout(() => {
             if (
-                this.attempt !== attempt || !this.isRepeatable()
-                || this.usedEndpoints + 1 >= this.options.route.maxEndpoints
+                this.attempt !== attempt || !this.retries.canUseAnotherEndpoint()
             ) {
                 return;
             }
@@ -291,26 +231,7 @@
             );
             return;
         }
-        this.recordNotices(attempt, responseHead);
-    }
-
-    /** Records what a valid response says of its endpoint. Another incarnation may have answered with status 421. */
-    private recordNotices({ endpoint, sent, status }: RunningAttempt, responseHead: ResponseHead): void {
-        const { limits, tracker } = this.options;
-        const now = performance.now();
-        if (responseHead.isSigned || responseHead.limit !== undefined) {
-            limits.recordResponse({ endpoint: endpoint.key, sentAt: sent.sentAt, limit: responseHead.limit }, now);
-        }
-        if (responseHead.pauseMs !== undefined) {
-            tracker.recordPause(endpoint, responseHead.pauseMs, now);
-        }
-        else if (!responseHead.isNotRun) {
-            const { load } = responseHead;
-            endpoint.pause.recordAnswer(sent.sentAt, load !== undefined && load.running + load.waiting < load.slots);
-        }
-        if (responseHead.isLeaving && status !== STATUS_MISDIRECTED) {
-            tracker.recordLeaving(endpoint, now);
-        }
+        recordNotices(attempt, responseHead, this.options);
     }
 
     private handleData(attempt: RunningAttempt, chunk: Buffer): void {
@@ -328,15 +249,14 @@
         for (const event of attempt.parser.push(chunk)) {
             this.recordFirstContent(attempt);
             this.writeHeadOnce(attempt);
-            this.lastByteAt = performance.now();
             this.restartStallTimer(attempt, this.timing.computeStreamIdleTimeoutMs());
             this.lastEventId = event.id ?? this.lastEventId;
-            this.options.response.write(event.bytes);
+            this.answer.writeEvent(event.bytes);
         }
         if (attempt.parser.getIncompleteBytes().length > MAX_EVENT_BYTES) {
             this.abandon(attempt, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
         }
-        else if (this.options.response.writableLength > MAX_UNREAD_BYTES) {
+        else if (this.answer.countUnreadBytes() > MAX_UNREAD_BYTES) {
             this.abortUnfinished(attempt);
             this.finishWithoutResponse(RefusalCause.CallerBehind);
         }
@@ -370,19 +290,18 @@
             this.writeHeadOnce(attempt);
             attempt.endpoint.health.record(false, performance.now());
             this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
-            this.finish(attempt.status, "served", () => this.options.response.end());
+            this.finish(attempt.status, "served", () => this.answer.endStream());
             return;
         }
-        this.usedEndpoints++;
-        this.mayHaveRun = true;
+        this.retries.recordRun(false);
         attempt.endpoint.health.record(attempt.status >= FIRST_SERVER_ERROR, performance.now());
         this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
-        if (attempt.status >= FIRST_SERVER_ERROR && this.firstByteAt === undefined && this.canRepeat()) {
-            this.recordAttempt(attempt, "endpoint-error");
+        if (attempt.status >= FIRST_SERVER_ERROR && !this.answer.hasBegun() && this.retries.takeRetry()) {
+            this.recorder.recordAttempt(attempt, "endpoint-error", this.lastEventId);
             this.sendNext();
             return;
         }
-        if (this.firstByteAt !== undefined) {
+        if (this.answer.hasBegun()) {
             this.handleIncompleteResponse(
                 attempt,
                 `the stream could not be continued (status ${attempt.status})`,
@@ -423,7 +342,7 @@
         }
         attempt.handle.abort();
         this.release(attempt);
-        this.recordAttempt(attempt, "taken-back");
+        this.recorder.recordAttempt(attempt, "taken-back", this.lastEventId);
         this.sendNext();
     }
 
@@ -442,9 +361,9 @@
 
     /** Handles a rejection: the endpoint guarantees that it has not run the request. */
     private handleRejection(attempt: RunningAttempt): void {
-        this.rejections++;
-        this.recordAttempt(attempt, "turned-away");
-        if (this.rejections < MAX_REJECTIONS && this.options.budget.takeRetry()) {
+        const hasRetry = this.retries.takeRetryAfterRejection();
+        this.recorder.recordAttempt(attempt, "turned-away", this.lastEventId);
+        if (hasRetry) {
             this.sendNext();
             return;
         }
@@ -453,53 +372,38 @@
 
     /** Handles an attempt that was sent, may have run, and has no complete response. */
     private handleIncompleteResponse(attempt: RunningAttempt, reason: string, isEndpointLost: boolean): void {
-        this.mayHaveRun = true;
+        this.retries.recordRun(isEndpointLost);
         attempt.endpoint.health.record(true, performance.now());
-        // Lost endpoints do not count towards the route's limit.
-        this.usedEndpoints += isEndpointLost ? 0 : 1;
-        this.lostEndpoints += isEndpointLost ? 1 : 0;
         if (!isEndpointLost) {
             this.options.tracker.recordBrokenAttempt(attempt.endpoint, attempt.sent);
         }
-        this.recordAttempt(attempt, reason);
-        if (this.canRepeat()) {
+        this.recorder.recordAttempt(attempt, reason, this.lastEventId);
+        if (this.retries.takeRetry()) {
             this.sendNext();
             return;
         }
         this.finishWithoutResponse(RefusalCause.EndpointFailed);
     }
 
-    private canRepeat(): boolean {
-        return this.isRepeatable() && this.usedEndpoints < this.options.route.maxEndpoints
-            && this.lostEndpoints < MAX_LOST_ENDPOINTS
-            && this.timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS && this.options.budget.takeRetry();
-    }
-
     private isStream(attempt: RunningAttempt): boolean {
         return this.options.route.kind === RequestKind.Streaming && attempt.status === 200;
     }
 
     private writeHeadOnce(attempt: RunningAttempt): void {
-        if (this.firstByteAt === undefined) {
-            this.firstByteAt = performance.now();
-            const { response, codec, bias, head } = this.options;
-            if (head.model !== undefined && this.sends === 1) {
-                const predictedMs = (this.choice?.predictedMs ?? 0) - bias.get(head.model);
-                bias.record(head.model, predictedMs, this.firstByteAt - attempt.sent.sentAt);
-            }
-            response.writeHead(attempt.status, codec.encodeResponse(attempt.headers));
+        if (this.answer.hasBegun()) {
+            return;
         }
+        const { bias, head } = this.options;
+        if (head.model !== undefined && this.sends === 1) {
+            const predictedMs = (this.choice?.predictedMs ?? 0) - bias.get(head.model);
+            bias.record(head.model, predictedMs, performance.now() - attempt.sent.sentAt);
+        }
+        this.answer.writeHead(attempt.status, attempt.headers);
     }
 
     private deliverResponse(attempt: RunningAttempt): void {
-        const { response, codec } = this.options;
         const body = attempt.answer.getBody();
-        this.firstByteAt = performance.now();
-        this.finish(attempt.status, "served", () => {
-            const headers = codec.encodeResponse(attempt.headers);
-            response.writeHead(attempt.status, { ...headers, "content-length": String(body.length) });
-            response.end(body);
-        });
+        this.finish(attempt.status, "served", () => this.answer.deliver(attempt.status, attempt.headers, body));
     }
 
     private release(attempt: RunningAttempt): void {
@@ -516,10 +420,10 @@
             return;
         }
         if (this.attempt !== undefined) {
-            this.mayHaveRun = true;
+            this.retries.mayHaveRun = true;
             this.abortUnfinished(this.attempt);
         }
-        this.finishWithoutResponse(this.mayHaveRun ? RefusalCause.Timeout : RefusalCause.NotInTime);
+        this.finishWithoutResponse(this.retries.mayHaveRun ? RefusalCause.Timeout : RefusalCause.NotInTime);
     }
 
     private handleCallerDisconnect(): void {
@@ -534,16 +438,15 @@
 
     /** Refuses the request, or closes the connection of a started response so that the caller detects the failure. */
     private finishWithoutResponse(refusal: Refusal): void {
-        const { response, codec, head } = this.options;
-        if (this.firstByteAt !== undefined) {
-            this.finish(0, `cut-${refusal.name}`, () => response.destroy());
+        if (this.answer.hasBegun()) {
+            this.finish(0, `cut-${refusal.name}`, () => this.answer.abort());
             return;
         }
-        const cause: Refusal = this.mayHaveRun && refusal.status === 503
+        const cause: Refusal = this.retries.mayHaveRun && refusal.status === 503
             ? { ...RefusalCause.EndpointFailed, detail: refusal.detail }
             : refusal;
         this.retryAfterMs = cause.retryAfterMs;
-        this.finish(cause.status, cause.name, () => refuse(response, codec, head.requestId, cause));
+        this.finish(cause.status, cause.name, () => this.answer.refuse(cause));
     }
 
     private finish(status: number, cause: string, effect: () => void): void {
@@ -552,53 +455,15 @@
         this.stopWaiting();
         clearTimeout(this.stallTimer);
         effect();
-        const { metrics, route, logger, head, service, account, arrivedAt, configurationVersion } = this.options;
-        metrics.answers.inc({ route: route.name, status: String(status), cause });
-        if (this.firstByteAt !== undefined) {
-            metrics.firstByteSeconds.observe({ route: route.name }, (this.firstByteAt - arrivedAt) / 1000);
-        }
-        logger.info("request-ended", {
-            requestId: head.requestId,
-            route: route.name,
-            service,
-            account: account?.name,
-            configuration: configurationVersion,
+        this.recorder.recordEnd({
             status,
             cause,
             sends: this.sends,
-            firstByteMs: this.firstByteAt === undefined ? undefined : Math.round(this.firstByteAt - arrivedAt),
-            predictedMs: Math.round(this.choice?.predictedMs ?? 0),
-            candidates: this.choice?.candidates,
-            limited: this.choice?.limited === 0 ? undefined : this.choice?.limited,
-            ageMs: Math.round(this.options.ageMs),
-            quarantined: this.quarantineRecord === undefined ? undefined : formatSuspect(this.quarantineRecord),
-            crashes: this.quarantineRecord?.crashes.length,
-            retryAfterMs: this.retryAfterMs === undefined ? undefined : Math.round(this.retryAfterMs),
-            totalMs: Math.round(performance.now() - arrivedAt),
+            firstByteAt: this.answer.firstByteAt,
+            choice: this.choice,
+            quarantineRecord: this.quarantineRecord,
+            retryAfterMs: this.retryAfterMs,
         });
         this.options.onEnd();
     }
-
-    private recordAttempt(attempt: RunningAttempt, outcome: string): void {
-        const { logger, head, service, metrics, tracker } = this.options;
-        metrics.attempts.inc({ service, outcome: attempt.status === 0 ? "broken" : String(attempt.status) });
-        const load = tracker.estimateLoad(attempt.endpoint);
-        logger.info("attempt-ended", {
-            requestId: head.requestId,
-            endpoint: attempt.endpoint.view.id,
-            outcome,
-            status: attempt.status,
-            running: load.running,
-            waiting: load.waiting,
-            reportAgeMs: Math.round(performance.now() - attempt.endpoint.view.engineReportedAt),
-            sinceSentMs: Math.round(performance.now() - attempt.sent.sentAt),
-            lastEventId: this.lastEventId,
-            parts: head.promptParts.length === 0 ? undefined : head.promptParts.join(),
-        });
-    }
-}
-
-/** Whether a response says where it ends; otherwise it ends with its connection. */
-function hasFraming(headers: RunningAttempt["headers"]): boolean {
-    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 }
--- /dev/null
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -0,0 +1,43 @@
+import type { Logger } from "@kumquathall/logger";
+import type { TrafficAccount, TrafficRoute } from "@kumquathall/types";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ByteBudget } from "./byteBudget.js";
+import type { CrashReporter } from "./crashReporter.js";
+import type { EndpointLimits } from "./endpointLimits.js";
+import type { EndpointTracker } from "./endpointTracker.js";
+import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
+import type { HttpHeaderCodec, RequestHead } from "./httpHeaderCodec.js";
+import type { GatewayMetrics } from "./metrics.js";
+import type { QuarantineList } from "./quarantineList.js";
+import type { RouteTable } from "./routeTable.js";
+import type { SharedRetryBudget } from "./sharedRetryBudget.js";
+
+/** What one request is and what it needs to be forwarded. */
+export interface ForwardedRequestOptions {
+    request: IncomingMessage;
+    response: ServerResponse;
+    body: Buffer;
+    /** Monotonic time at which the request's headers arrived, in milliseconds. */
+    arrivedAt: number;
+    head: RequestHead;
+    route: TrafficRoute;
+    account: TrafficAccount | undefined;
+    service: string;
+    table: RouteTable;
+    /** Version by which the request was accepted. */
+    configurationVersion: number;
+    tracker: EndpointTracker;
+    codec: HttpHeaderCodec;
+    logger: Logger;
+    metrics: GatewayMetrics;
+    budget: SharedRetryBudget;
+    bias: FirstEventBiasEstimator;
+    /** Estimated time between the caller's first attempt and the arrival of this request, in milliseconds. */
+    ageMs: number;
+    limits: EndpointLimits;
+    quarantine: QuarantineList;
+    crashReporter: CrashReporter;
+    /** Bytes of responses without events that all requests may hold. */
+    answerBytes: ByteBudget;
+    onEnd: () => void;
+}
--- /dev/null
+++ b/packages/gateway/src/requestRecorder.ts
@@ -0,0 +1,83 @@
+import type { Logger } from "@kumquathall/logger";
+import type { SuspectRecord, TrafficAccount, TrafficRoute } from "@kumquathall/types";
+import type { EndpointChoice } from "./endpointChooser.js";
+import type { EndpointTracker } from "./endpointTracker.js";
+import type { RequestHead } from "./httpHeaderCodec.js";
+import type { GatewayMetrics } from "./metrics.js";
+import { formatSuspect } from "./quarantineList.js";
+import type { RunningAttempt } from "./runningAttempt.js";
+
+export interface RequestRecorderOptions {
+    /** Monotonic time at which the request's headers arrived, in milliseconds. */
+    arrivedAt: number;
+    head: RequestHead;
+    route: TrafficRoute;
+    account: TrafficAccount | undefined;
+    service: string;
+    configurationVersion: number;
+    tracker: EndpointTracker;
+    logger: Logger;
+    metrics: GatewayMetrics;
+    ageMs: number;
+}
+
+/** How a request ended. */
+export interface RequestEnd {
+    status: number;
+    cause: string;
+    sends: number;
+    firstByteAt: number | undefined;
+    choice: EndpointChoice | undefined;
+    quarantineRecord: SuspectRecord | undefined;
+    retryAfterMs: number | undefined;
+}
+
+/** Logs and counts what becomes of one request and of its attempts. */
+export class RequestRecorder {
+    constructor(private readonly options: RequestRecorderOptions) {}
+
+    recordEnd({ status, cause, sends, firstByteAt, choice, quarantineRecord, retryAfterMs }: RequestEnd): void {
+        const { metrics, route, logger, head, service, account, arrivedAt, configurationVersion } = this.options;
+        metrics.answers.inc({ route: route.name, status: String(status), cause });
+        if (firstByteAt !== undefined) {
+            metrics.firstByteSeconds.observe({ route: route.name }, (firstByteAt - arrivedAt) / 1000);
+        }
+        logger.info("request-ended", {
+            requestId: head.requestId,
+            route: route.name,
+            service,
+            account: account?.name,
+            configuration: configurationVersion,
+            status,
+            cause,
+            sends,
+            firstByteMs: firstByteAt === undefined ? undefined : Math.round(firstByteAt - arrivedAt),
+            predictedMs: Math.round(choice?.predictedMs ?? 0),
+            candidates: choice?.candidates,
+            limited: choice?.limited === 0 ? undefined : choice?.limited,
+            ageMs: Math.round(this.options.ageMs),
+            quarantined: quarantineRecord === undefined ? undefined : formatSuspect(quarantineRecord),
+            crashes: quarantineRecord?.crashes.length,
+            retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
+            totalMs: Math.round(performance.now() - arrivedAt),
+        });
+    }
+
+    recordAttempt(attempt: RunningAttempt, outcome: string, lastEventId: number | undefined): void {
+        const { logger, head, service, metrics, tracker } = this.options;
+        metrics.attempts.inc({ service, outcome: attempt.status === 0 ? "broken" : String(attempt.status) });
+        const load = tracker.estimateLoad(attempt.endpoint);
+        logger.info("attempt-ended", {
+            requestId: head.requestId,
+            endpoint: attempt.endpoint.view.id,
+            outcome,
+            status: attempt.status,
+            running: load.running,
+            waiting: load.waiting,
+            reportAgeMs: Math.round(performance.now() - attempt.endpoint.view.engineReportedAt),
+            sinceSentMs: Math.round(performance.now() - attempt.sent.sentAt),
+            lastEventId,
+            parts: head.promptParts.length === 0 ? undefined : head.promptParts.join(),
+        });
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/retryAllowance.ts
@@ -0,0 +1,59 @@
+import { RequestKind, type TrafficRoute } from "@kumquathall/types";
+import type { RequestTiming } from "./requestTiming.js";
+import type { SharedRetryBudget } from "./sharedRetryBudget.js";
+
+export interface RetryAllowanceOptions {
+    route: TrafficRoute;
+    budget: SharedRetryBudget;
+    timing: RequestTiming;
+}
+
+/** No attempt is started with less than this time to the deadline, in milliseconds. */
+export const MIN_ATTEMPT_MS = 20;
+/** The request is refused after this many endpoints rejected it without running it. */
+const MAX_REJECTIONS = 3;
+/** A request is not sent again after this many endpoints were lost while they ran it. */
+const MAX_LOST_ENDPOINTS = 3;
+
+/** Decides whether one request may be sent again, from its earlier attempts, its route and the shared retry budget. */
+export class RetryAllowance {
+    /** An endpoint may have run the request. */
+    mayHaveRun = false;
+    /** Endpoints that may have run the request, not counting those that were lost while they ran it. */
+    private usedEndpoints = 0;
+    private lostEndpoints = 0;
+    private rejections = 0;
+
+    constructor(private readonly options: RetryAllowanceOptions) {}
+
+    isRepeatable(): boolean {
+        const { kind, isResumable } = this.options.route;
+        return kind === RequestKind.Idempotent || (kind === RequestKind.Streaming && isResumable);
+    }
+
+    /** Whether the route allows another endpoint to run the request, should the endpoint that runs it now fail. */
+    canUseAnotherEndpoint(): boolean {
+        return this.isRepeatable() && this.usedEndpoints + 1 < this.options.route.maxEndpoints;
+    }
+
+    /** Counts an attempt that may have run. Lost endpoints do not count towards the route's limit. */
+    recordRun(isEndpointLost: boolean): void {
+        this.mayHaveRun = true;
+        this.usedEndpoints += isEndpointLost ? 0 : 1;
+        this.lostEndpoints += isEndpointLost ? 1 : 0;
+    }
+
+    /** Counts a rejection, after which the request has not run, and takes a retry; `false` if there is none. */
+    takeRetryAfterRejection(): boolean {
+        this.rejections++;
+        return this.rejections < MAX_REJECTIONS && this.options.budget.takeRetry();
+    }
+
+    /** Takes a retry after an attempt that may have run; `false` if there is none. */
+    takeRetry(): boolean {
+        const { route, timing, budget } = this.options;
+        return this.isRepeatable() && this.usedEndpoints < route.maxEndpoints
+            && this.lostEndpoints < MAX_LOST_ENDPOINTS
+            && timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS && budget.takeRetry();
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/runningAttempt.ts
@@ -0,0 +1,48 @@
+import type { EndpointLimits } from "./endpointLimits.js";
+import type { Attempt } from "./endpointPool.js";
+import type { EndpointTracker, SentRequest, TrackedEndpoint } from "./endpointTracker.js";
+import type { EventStreamParser } from "./eventStreamParser.js";
+import type { HeldAnswer } from "./heldAnswer.js";
+import type { ResponseHead } from "./httpHeaderCodec.js";
+
+/** One attempt in flight. */
+export interface RunningAttempt {
+    endpoint: TrackedEndpoint;
+    sent: SentRequest;
+    handle: Attempt;
+    parser: EventStreamParser;
+    responseHead: ResponseHead | undefined;
+    status: number;
+    headers: Record<string, string | string[] | undefined>;
+    answer: HeldAnswer;
+}
+
+/** Status of an endpoint that another incarnation has replaced. */
+export const STATUS_MISDIRECTED = 421;
+
+/** Whether a response says where it ends; otherwise it ends with its connection. */
+export function hasFraming(headers: RunningAttempt["headers"]): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
+/** Records what a valid response says of its endpoint. Another incarnation may have answered with status 421. */
+export function recordNotices(
+    { endpoint, sent, status }: RunningAttempt,
+    responseHead: ResponseHead,
+    { limits, tracker }: { limits: EndpointLimits; tracker: EndpointTracker },
+): void {
+    const now = performance.now();
+    if (responseHead.isSigned || responseHead.limit !== undefined) {
+        limits.recordResponse({ endpoint: endpoint.key, sentAt: sent.sentAt, limit: responseHead.limit }, now);
+    }
+    if (responseHead.pauseMs !== undefined) {
+        tracker.recordPause(endpoint, responseHead.pauseMs, now);
+    }
+    else if (!responseHead.isNotRun) {
+        const { load } = responseHead;
+        endpoint.pause.recordAnswer(sent.sentAt, load !== undefined && load.running + load.waiting < load.slots);
+    }
+    if (responseHead.isLeaving && status !== STATUS_MISDIRECTED) {
+        tracker.recordLeaving(endpoint, now);
+    }
+}
