Tell apart why requests end without a complete answer

What callers saw: requests that ended without an answer, of which the logs kept no cause. A connection that the gateway itself closed at a stop was logged as caller-gone, as if the caller had left; a stream that was given up for silence looked the same whether the endpoint was silent, the gateway had stood still, or no retry was left.

request-ended now has incomplete, closeReason, noRetry, silentMs and stopping; attempt-ended has silentMs. Connections that this process closes are counted by reason, with the responses that had not left the process (connection-closed, kumquathall_gateway_connections_closed_total, _responses_cut_total); unreadable requests are counted by the parser's code. The answers to those, and when connections are closed, are as Node's defaults were.

Nothing decides by any of it.

--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -57,9 +57,4 @@
         const { response, codec, requestId } = this.options;
         refuse(response, codec, requestId, refusal);
     }
-
-    /** Closes the connection of a response that has begun, so that the caller detects that it is incomplete. */
-    abort(): void {
-        this.options.response.destroy();
-    }
 }
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,4 +1,5 @@
 import { RequestKind, type SuspectRecord } from "@kumquathall/types";
+import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
 import { listRawHeaders } from "./endpointPool.js";
@@ -6,6 +7,7 @@
 import { EventStreamParser } from "./eventStreamParser.js";
 import type { ForwardedRequestOptions } from "./forwardedRequestOptions.js";
 import { HeldAnswer } from "./heldAnswer.js";
+import { IncompleteCause, type IncompleteCauseValue } from "./incompleteCause.js";
 import { describeQuarantine } from "./quarantineList.js";
 import { type Refusal, RefusalCause } from "./refusal.js";
 import { RequestRecorder } from "./requestRecorder.js";
@@ -25,7 +27,11 @@
 /** Limits of one event and of what a caller has not read, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
+/** Delay of a timer from which the process counts as stalled, in milliseconds. */
+const LATE_TIMER_MS = 100;
 const FIRST_SERVER_ERROR = 500;
+/** Cause of the end of a request with a complete answer of an endpoint. */
+const SERVED = "served";
 
 /** Forwards one request, whose body is complete, until the caller has its final response. */
 export class ForwardedRequest {
@@ -41,6 +47,10 @@
     /** The latest choice of an endpoint. */
     private choice: EndpointChoice | undefined;
     private retryAfterMs: number | undefined;
+    /** Why the latest attempt has no complete response. */
+    private incomplete: IncompleteCauseValue | undefined;
+    /** Monotonic time at which an endpoint last sent something, in milliseconds. */
+    private lastDataAt: number | undefined;
     private readonly answer: CallerResponse;
     private readonly recorder: RequestRecorder;
     private readonly timing: RequestTiming;
@@ -172,6 +182,7 @@
             headers: {},
             answer: new HeldAnswer(this.options.answerBytes),
             handle: { abort: () => undefined, isWritten: () => false },
+            lastDataAt: performance.now(),
         };
         this.attempt = attempt;
         this.restartStallTimer(attempt, this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
@@ -196,14 +207,15 @@
     /** Retries at another endpoint if this one sends nothing for `stallMs` and the request may still be repeated. */
     private restartStallTimer(attempt: RunningAttempt, stallMs: number): void {
         clearTimeout(this.stallTimer);
+        const expiresAt = performance.now() + stallMs;
         this.stallTimer = setTimeout(() => {
-            if (
-                this.attempt !== attempt || !this.retries.canUseAnotherEndpoint()
-            ) {
+            if (this.attempt !== attempt || !this.retries.canUseAnotherEndpoint()) {
                 return;
             }
             attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
-            this.abandon(attempt, "the endpoint has stalled");
+            const hasProcessStalled = performance.now() - expiresAt >= LATE_TIMER_MS;
+            const cause = hasProcessStalled ? IncompleteCause.ProcessStalled : IncompleteCause.EndpointSilent;
+            this.abandon(attempt, "the endpoint has stalled", cause);
         }, stallMs);
     }
 
@@ -215,6 +227,7 @@
         const { codec, head } = this.options;
         const responseHead = codec.decodeResponse(status, headers);
         attempt.responseHead = responseHead;
+        attempt.lastDataAt = performance.now();
         attempt.sent.headAt = performance.now();
         attempt.endpoint.lastResponseAt = performance.now();
         attempt.status = status;
@@ -239,6 +252,7 @@
             return;
         }
         attempt.sent.hasStarted = true;
+        attempt.lastDataAt = performance.now();
         if (!this.isStream(attempt)) {
             this.recordFirstContent(attempt);
             if (!attempt.answer.add(chunk)) {
@@ -258,6 +272,7 @@
         }
         else if (this.answer.countUnreadBytes() > MAX_UNREAD_BYTES) {
             this.abortUnfinished(attempt);
+            this.incomplete = IncompleteCause.CallerBehind;
             this.finishWithoutResponse(RefusalCause.CallerBehind);
         }
     }
@@ -290,7 +305,7 @@
             this.writeHeadOnce(attempt);
             attempt.endpoint.health.record(false, performance.now());
             this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
-            this.finish(attempt.status, "served", () => this.answer.endStream());
+            this.finish(attempt.status, SERVED, () => this.answer.endStream());
             return;
         }
         this.retries.recordRun(false);
@@ -332,7 +347,7 @@
         }
         attempt.handle.abort();
         this.release(attempt);
-        this.handleIncompleteResponse(attempt, reason, isEndpointLost);
+        this.handleIncompleteResponse(attempt, reason, isEndpointLost, IncompleteCause.EndpointLost);
     }
 
     /** Sends a request elsewhere of which the endpoint has received nothing and will receive nothing. */
@@ -353,10 +368,14 @@
         this.options.tracker.recordBrokenAttempt(attempt.endpoint, attempt.sent);
     }
 
-    private abandon(attempt: RunningAttempt, reason: string): void {
+    private abandon(
+        attempt: RunningAttempt,
+        reason: string,
+        cause: IncompleteCauseValue = IncompleteCause.EndpointBroke,
+    ): void {
         attempt.handle.abort();
         this.release(attempt);
-        this.handleIncompleteResponse(attempt, reason, false);
+        this.handleIncompleteResponse(attempt, reason, false, cause);
     }
 
     /** Handles a rejection: the endpoint guarantees that it has not run the request. */
@@ -371,7 +390,13 @@
     }
 
     /** Handles an attempt that was sent, may have run, and has no complete response. */
-    private handleIncompleteResponse(attempt: RunningAttempt, reason: string, isEndpointLost: boolean): void {
+    private handleIncompleteResponse(
+        attempt: RunningAttempt,
+        reason: string,
+        isEndpointLost: boolean,
+        cause: IncompleteCauseValue = IncompleteCause.EndpointBroke,
+    ): void {
+        this.incomplete = cause;
         this.retries.recordRun(isEndpointLost);
         attempt.endpoint.health.record(true, performance.now());
         if (!isEndpointLost) {
@@ -403,11 +428,12 @@
 
     private deliverResponse(attempt: RunningAttempt): void {
         const body = attempt.answer.getBody();
-        this.finish(attempt.status, "served", () => this.answer.deliver(attempt.status, attempt.headers, body));
+        this.finish(attempt.status, SERVED, () => this.answer.deliver(attempt.status, attempt.headers, body));
     }
 
     private release(attempt: RunningAttempt): void {
         this.attempt = undefined;
+        this.lastDataAt = attempt.lastDataAt;
         attempt.answer.close();
         clearTimeout(this.stallTimer);
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
@@ -423,6 +449,7 @@
             this.retries.mayHaveRun = true;
             this.abortUnfinished(this.attempt);
         }
+        this.incomplete = this.retries.mayHaveRun ? IncompleteCause.Deadline : undefined;
         this.finishWithoutResponse(this.retries.mayHaveRun ? RefusalCause.Timeout : RefusalCause.NotInTime);
     }
 
@@ -433,13 +460,20 @@
         if (this.attempt !== undefined) {
             this.abortUnfinished(this.attempt);
         }
-        this.finish(0, "caller-gone", () => undefined);
+        const isClosedHere = this.options.connections.findCloseReason(this.options.request) !== undefined;
+        this.incomplete = isClosedHere ? IncompleteCause.ClosedHere : IncompleteCause.CallerLeft;
+        this.finish(0, isClosedHere ? "closed-here" : "caller-gone", () => undefined);
     }
 
     /** Refuses the request, or closes the connection of a started response so that the caller detects the failure. */
     private finishWithoutResponse(refusal: Refusal): void {
+        const { connections, request } = this.options;
         if (this.answer.hasBegun()) {
-            this.finish(0, `cut-${refusal.name}`, () => this.answer.abort());
+            this.finish(
+                0,
+                `cut-${refusal.name}`,
+                () => connections.close(request.socket, CloseReason.Incomplete),
+            );
             return;
         }
         const cause: Refusal = this.retries.mayHaveRun && refusal.status === 503
@@ -455,6 +489,7 @@
         this.stopWaiting();
         clearTimeout(this.stallTimer);
         effect();
+        const isServed = cause === SERVED;
         this.recorder.recordEnd({
             status,
             cause,
@@ -463,6 +498,10 @@
             choice: this.choice,
             quarantineRecord: this.quarantineRecord,
             retryAfterMs: this.retryAfterMs,
+            incomplete: isServed ? undefined : this.incomplete,
+            closeReason: this.options.connections.findCloseReason(this.options.request),
+            noRetry: isServed ? undefined : this.retries.getNoRetry(),
+            silentMs: isServed || this.lastDataAt === undefined ? undefined : performance.now() - this.lastDataAt,
         });
         this.options.onEnd();
     }
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -2,6 +2,7 @@
 import type { TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ByteBudget } from "./byteBudget.js";
+import type { CallerConnections } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
@@ -27,6 +28,10 @@
     /** Version by which the request was accepted. */
     configurationVersion: number;
     tracker: EndpointTracker;
+    /** Connections of callers, the request's among them. */
+    connections: CallerConnections;
+    /** Whether the process has been asked to stop. */
+    isStopping: () => boolean;
     codec: HttpHeaderCodec;
     logger: Logger;
     metrics: GatewayMetrics;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -2,6 +2,7 @@
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteBudget } from "./byteBudget.js";
+import { type CallerConnections, CloseReason } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
@@ -19,6 +20,7 @@
 export interface ForwarderOptions {
     tracker: EndpointTracker;
     limits: EndpointLimits;
+    connections: CallerConnections;
     codec: HttpHeaderCodec;
     logger: Logger;
     metrics: GatewayMetrics;
@@ -132,7 +134,7 @@
         readBody(request, { maxBytes, timeoutMs }, outcome => {
             if (outcome.kind === "tooLarge") {
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
-                closeUnlessComplete(request, maxBytes);
+                closeUnlessComplete(request, maxBytes, this.options.connections);
                 return;
             }
             if (outcome.kind === "late") {
@@ -156,6 +158,8 @@
                 configurationVersion,
                 tracker: this.options.tracker,
                 limits: this.options.limits,
+                connections: this.options.connections,
+                isStopping,
                 codec,
                 logger: this.options.logger,
                 metrics,
@@ -192,7 +196,7 @@
  * Closes the connection of a refused request whose body goes on. A connection that is closed while bytes arrive is reset,
  * and the caller may not get the refusal; so up to `maxBytes` more are discarded, and it is closed after a while.
  */
-function closeUnlessComplete(request: IncomingMessage, maxBytes: number): void {
+function closeUnlessComplete(request: IncomingMessage, maxBytes: number, connections: CallerConnections): void {
     let discarded = 0;
     request.on("data", (chunk: Buffer) => {
         discarded += chunk.length;
@@ -202,7 +206,7 @@
     });
     setTimeout(() => {
         if (!request.complete) {
-            request.socket.destroy();
+            connections.close(request.socket, CloseReason.BodyTooLarge);
         }
     }, CLOSE_AFTER_MS).unref();
 }
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -13,6 +13,7 @@
     RevisionCast,
 } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { CallerConnections, CloseReason } from "./callerConnections.js";
 import { CrashReporter } from "./crashReporter.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import { EndpointTracker } from "./endpointTracker.js";
@@ -65,6 +66,7 @@
     private readonly limits: EndpointLimits;
     private readonly forwarder: Forwarder;
     private readonly server: Server;
+    private readonly connections: CallerConnections;
     private readonly readyServer: Server;
     private readonly staleTimer: NodeJS.Timeout;
     private stoppingSince: number | undefined;
@@ -108,10 +110,21 @@
             },
             countGateways: () => this.directory.countGateways(),
         });
+        this.server = createServer(
+            { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 60_000, requestTimeout: 0 },
+            (request, response) => this.handle(request, response),
+        );
+        this.connections = new CallerConnections({
+            server: this.server,
+            logger,
+            metrics: this.metrics,
+            isStopping: () => this.stoppingSince !== undefined,
+        });
         this.staleTimer = setInterval(() => this.removeStale(), STALE_CHECK_MS);
         this.forwarder = new Forwarder({
             tracker: this.tracker,
             limits: this.limits,
+            connections: this.connections,
             codec,
             logger,
             metrics: this.metrics,
@@ -129,10 +142,6 @@
             retryRatio: settings.retryBudget.ratio,
             retryWindowMs: settings.retryBudget.windowMs,
         });
-        this.server = createServer(
-            { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 60_000, requestTimeout: 0 },
-            (request, response) => this.handle(request, response),
-        );
         this.readyServer = createServer((request, response) => this.handleReadinessCheck(request, response));
         this.directory = new ControlDirectory({
             identity: createIdentity(context, "gateway"),
@@ -194,9 +203,9 @@
         this.tracker.close();
         this.limits.close();
         clearInterval(this.staleTimer);
+        this.connections.closeAll(CloseReason.StopEnded);
         this.server.close();
         this.readyServer.close();
-        this.server.closeAllConnections();
         this.readyServer.closeAllConnections();
         return Promise.resolve();
     }
@@ -210,6 +219,7 @@
         // Node ends the process on an error event without a listener. The response's close event handles disconnects.
         request.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
         response.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
+        this.connections.addRequest(request, response);
         this.forwarder.forward(request, response);
     }
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -8,6 +8,10 @@
     active: Gauge;
     quarantined: Gauge<"subject">;
     permits: Counter<"outcome">;
+    incompleteAnswers: Counter<"cause" | "stopping">;
+    connectionsClosed: Counter<"reason">;
+    responsesCut: Counter<"reason">;
+    parseErrors: Counter<"code">;
 }
 
 export interface GatewayMetricsOptions {
@@ -70,6 +74,31 @@
             labelNames: ["outcome"],
             registers,
         }),
+        incompleteAnswers: new Counter({
+            name: "kumquathall_gateway_incomplete_answers_total",
+            help:
+                "Requests that ended without a complete answer of an endpoint, by cause and whether the gateway was stopping",
+            labelNames: ["cause", "stopping"],
+            registers,
+        }),
+        connectionsClosed: new Counter({
+            name: "kumquathall_gateway_connections_closed_total",
+            help: "Callers' connections that this process closed, by reason",
+            labelNames: ["reason"],
+            registers,
+        }),
+        responsesCut: new Counter({
+            name: "kumquathall_gateway_responses_cut_total",
+            help: "Responses that had not left the process when it closed their connection, by reason",
+            labelNames: ["reason"],
+            registers,
+        }),
+        parseErrors: new Counter({
+            name: "kumquathall_gateway_parse_errors_total",
+            help: "Callers' bytes that are no HTTP request, by the parser's error code",
+            labelNames: ["code"],
+            registers,
+        }),
         active: new Gauge({
             name: "kumquathall_gateway_active_requests",
             help: "Requests under way",
--- a/packages/gateway/src/requestRecorder.ts
+++ b/packages/gateway/src/requestRecorder.ts
@@ -3,6 +3,7 @@
 import type { EndpointChoice } from "./endpointChooser.js";
 import type { EndpointTracker } from "./endpointTracker.js";
 import type { RequestHead } from "./httpHeaderCodec.js";
+import type { IncompleteCauseValue } from "./incompleteCause.js";
 import type { GatewayMetrics } from "./metrics.js";
 import { formatSuspect } from "./quarantineList.js";
 import type { RunningAttempt } from "./runningAttempt.js";
@@ -19,6 +20,7 @@
     logger: Logger;
     metrics: GatewayMetrics;
     ageMs: number;
+    isStopping: () => boolean;
 }
 
 /** How a request ended. */
@@ -30,15 +32,28 @@
     choice: EndpointChoice | undefined;
     quarantineRecord: SuspectRecord | undefined;
     retryAfterMs: number | undefined;
+    /** Why it ended without a complete answer of an endpoint; `undefined` if it has one. */
+    incomplete: IncompleteCauseValue | undefined;
+    /** Why this process closed the connection. */
+    closeReason: string | undefined;
+    /** Why it was not sent again. */
+    noRetry: string | undefined;
+    /** Time since the endpoint sent something, in milliseconds. */
+    silentMs: number | undefined;
 }
 
 /** Logs and counts what becomes of one request and of its attempts. */
 export class RequestRecorder {
     constructor(private readonly options: RequestRecorderOptions) {}
 
-    recordEnd({ status, cause, sends, firstByteAt, choice, quarantineRecord, retryAfterMs }: RequestEnd): void {
+    recordEnd(end: RequestEnd): void {
+        const { status, cause, sends, firstByteAt, choice, quarantineRecord, retryAfterMs, incomplete } = end;
         const { metrics, route, logger, head, service, account, arrivedAt, configurationVersion } = this.options;
         metrics.answers.inc({ route: route.name, status: String(status), cause });
+        const stopping = this.options.isStopping();
+        if (incomplete !== undefined) {
+            metrics.incompleteAnswers.inc({ cause: incomplete, stopping: String(stopping) });
+        }
         if (firstByteAt !== undefined) {
             metrics.firstByteSeconds.observe({ route: route.name }, (firstByteAt - arrivedAt) / 1000);
         }
@@ -60,6 +75,11 @@
             crashes: quarantineRecord?.crashes.length,
             retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
             totalMs: Math.round(performance.now() - arrivedAt),
+            incomplete,
+            closeReason: end.closeReason,
+            noRetry: end.noRetry,
+            silentMs: end.silentMs === undefined ? undefined : Math.round(end.silentMs),
+            stopping: stopping ? true : undefined,
         });
     }
 
@@ -76,6 +96,7 @@
             waiting: load.waiting,
             reportAgeMs: Math.round(performance.now() - attempt.endpoint.view.engineReportedAt),
             sinceSentMs: Math.round(performance.now() - attempt.sent.sentAt),
+            silentMs: Math.round(performance.now() - attempt.lastDataAt),
             lastEventId,
             parts: head.promptParts.length === 0 ? undefined : head.promptParts.join(),
         });
--- a/packages/gateway/src/retryAllowance.ts
+++ b/packages/gateway/src/retryAllowance.ts
@@ -2,6 +2,21 @@
 import type { RequestTiming } from "./requestTiming.js";
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
 
+/** Why a request may not be sent again. */
+export const NoRetry = {
+    /** It may run only once. */
+    NotRepeatable: "not-repeatable",
+    /** As many endpoints as the route allows may have run it, or too many were lost. */
+    Endpoints: "endpoints",
+    /** Too many endpoints have rejected it. */
+    Rejections: "rejections",
+    /** Its deadline is too close. */
+    Time: "time",
+    /** The shared budget of the service has no retry left. */
+    Budget: "retry-budget-empty",
+} as const;
+export type NoRetryValue = (typeof NoRetry)[keyof typeof NoRetry];
+
 export interface RetryAllowanceOptions {
     route: TrafficRoute;
     budget: SharedRetryBudget;
@@ -23,6 +38,8 @@
     private usedEndpoints = 0;
     private lostEndpoints = 0;
     private rejections = 0;
+    /** Why the latest retry was not granted. */
+    private refusal: NoRetryValue | undefined;
 
     constructor(private readonly options: RetryAllowanceOptions) {}
 
@@ -46,14 +63,33 @@
     /** Counts a rejection, after which the request has not run, and takes a retry; `false` if there is none. */
     takeRetryAfterRejection(): boolean {
         this.rejections++;
-        return this.rejections < MAX_REJECTIONS && this.options.budget.takeRetry();
+        return this.decide(this.rejections < MAX_REJECTIONS ? undefined : NoRetry.Rejections);
     }
 
     /** Takes a retry after an attempt that may have run; `false` if there is none. */
     takeRetry(): boolean {
-        const { route, timing, budget } = this.options;
-        return this.isRepeatable() && this.usedEndpoints < route.maxEndpoints
-            && this.lostEndpoints < MAX_LOST_ENDPOINTS
-            && timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS && budget.takeRetry();
+        return this.decide(this.findObstacle());
+    }
+
+    /** Why the latest retry was not granted; `undefined` if none was refused. */
+    getNoRetry(): NoRetryValue | undefined {
+        return this.refusal;
+    }
+
+    private findObstacle(): NoRetryValue | undefined {
+        const { route, timing } = this.options;
+        if (!this.isRepeatable()) {
+            return NoRetry.NotRepeatable;
+        }
+        if (this.usedEndpoints >= route.maxEndpoints || this.lostEndpoints >= MAX_LOST_ENDPOINTS) {
+            return NoRetry.Endpoints;
+        }
+        return timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS ? undefined : NoRetry.Time;
+    }
+
+    /** Takes a retry out of the budget unless there is an obstacle. */
+    private decide(obstacle: NoRetryValue | undefined): boolean {
+        this.refusal = obstacle ?? (this.options.budget.takeRetry() ? undefined : NoRetry.Budget);
+        return this.refusal === undefined;
     }
 }
--- a/packages/gateway/src/runningAttempt.ts
+++ b/packages/gateway/src/runningAttempt.ts
@@ -15,6 +15,8 @@
     status: number;
     headers: Record<string, string | string[] | undefined>;
     answer: HeldAnswer;
+    /** Monotonic time at which the endpoint last sent something, or the request was sent, in milliseconds. */
+    lastDataAt: number;
 }
 
 /** Status of an endpoint that another incarnation has replaced. */
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -80,6 +80,7 @@
     },
     "caller-behind": { meaning: "the caller did not read its answer", events: [] },
     "caller-gone": { meaning: "the caller disconnected", events: [] },
+    "closed-here": { meaning: "the gateway closed its connection before its end", events: ["stopping"] },
 };
 
 /** Events that concern only the process that logs them, so that those of other gateways are not causes. */
