Count and log responses that are not believed, and the memory held for peers

What callers saw: requests that ended without an answer, with no logs of how.

attempt-ended says that an attempt failed; it doesn't distinguish an endpoint that sends wrong bytes from one that is gone, and bytes on an idle connection leave no trace at all. Nothing tells how much memory bodies and answers hold before a process runs out of it.

Nothing decides by any of them: a response without an id is counted and still used.

--- a/packages/gateway/src/byteBudget.ts
+++ b/packages/gateway/src/byteBudget.ts
@@ -13,6 +13,10 @@
         return true;
     }
 
+    getHeld(): number {
+        return this.held;
+    }
+
     /** Returns bytes that were taken. */
     release(bytes: number): void {
         this.held -= bytes;
--- a/packages/gateway/src/endpointPool.feature
+++ b/packages/gateway/src/endpointPool.feature
@@ -19,3 +19,15 @@
             | chunked, connection: close, reset          | "chunks, closing, abcd"       | reset | failed   |
             | bytes that are not HTTP                    | "garbage"                     | close | failed   |
             | no bytes                                   | "nothing"                     | close | failed   |
+
+    # Guards against additional bytes of a faulty endpoint that nobody can find in the logs and metrics.
+    Scenario Outline: Bytes on a connection on which no request waits are recorded
+        Given an endpoint that responds and then sends <bytes> on the idle connection
+        When a request is sent to it
+        Then the attempt ends as complete
+        And extra bytes are recorded once
+
+        Examples:
+            | bytes      |
+            | a response |
+            | garbage    |
--- a/packages/gateway/src/endpointPool.steps.ts
+++ b/packages/gateway/src/endpointPool.steps.ts
@@ -10,6 +10,8 @@
 let server: Server | undefined;
 let pool: EndpointPool | undefined;
 let outcome = "";
+let extraBytes = 0;
+let onExtraBytes: () => void = () => undefined;
 
 function buildResponse(description: string): string {
     const [kind, ...parts] = description.split(", ");
@@ -53,9 +55,29 @@
     },
 );
 
+Given(
+    /^an endpoint that responds and then sends (a response|garbage) on the idle connection$/,
+    async (kind: string) => {
+        const extra = buildResponse(kind === "garbage" ? "garbage" : "length 4, abcd");
+        server = createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => {
+                socket.write(buildResponse("length 4, abcd"));
+                setTimeout(() => socket.write(extra), READ_MS);
+            });
+        }).listen(0, "127.0.0.1");
+        await once(server, "listening");
+    },
+);
+
 When("a request is sent to it", async () => {
     const { port } = server?.address() as AddressInfo;
     pool = new EndpointPool(`127.0.0.1:${port}`, 1);
+    extraBytes = 0;
+    pool.onExtraBytes = () => {
+        extraBytes++;
+        onExtraBytes();
+    };
     outcome = await new Promise(resolve => {
         pool?.send({ method: "GET", path: "/", headers: {}, body: Buffer.alloc(0), isRepeatable: true }, {
             onHead: () => undefined,
@@ -66,4 +88,11 @@
     });
 });
 
+Then("extra bytes are recorded once", async () => {
+    if (extraBytes === 0) {
+        await new Promise<void>(resolve => onExtraBytes = resolve);
+    }
+    strictEqual(extraBytes, 1);
+});
+
 Then("the attempt ends as {word}", (expected: string) => strictEqual(outcome, expected));
--- a/packages/gateway/src/endpointPool.ts
+++ b/packages/gateway/src/endpointPool.ts
@@ -44,8 +44,22 @@
     "UND_ERR_DESTROYED",
 ]);
 
+/** Error codes of undici's parser for bytes that are not HTTP begin with this. */
+const PARSER_CODE_PREFIX = "HPE_";
+/** Message of undici's error for a response that no request waits for. */
+const UNEXPECTED_RESPONSE_MESSAGE = "bad response";
+
+/** Whether a connection was closed because of bytes that are not HTTP. */
+export function isMalformed(error: Error & { code?: string }): boolean {
+    return error.code?.startsWith(PARSER_CODE_PREFIX) === true;
+}
+
 /** Connection pool to one incarnation of an endpoint, without pipelining. */
 export class EndpointPool {
+    /** Called when bytes arrive on a connection on which no request waits for a response. */
+    onExtraBytes: (() => void) | undefined;
+    /** Errors of connections that a request has got. */
+    private readonly reported = new WeakSet<Error>();
     private readonly pool: Pool;
     /** For requests that must not be repeated: a request on an idle connection that the endpoint dropped is reset. */
     private readonly nonRepeatablePool: Pool;
@@ -53,11 +67,14 @@
     constructor(address: string, maxConnections: number) {
         this.pool = createPool(address, maxConnections, IDLE_MS);
         this.nonRepeatablePool = createPool(address, maxConnections, NON_REPEATABLE_IDLE_MS);
+        for (const pool of [this.pool, this.nonRepeatablePool]) {
+            pool.on("disconnect", (_origin, _targets, error) => this.handleDisconnect(error));
+        }
     }
 
     /** Sends a request and reports its progress to the handler. */
     send(request: AttemptRequest, handler: AttemptHandler): Attempt {
-        const attempt = new PooledAttempt(handler);
+        const attempt = new PooledAttempt(handler, this.reported);
         const pool = request.isRepeatable ? this.pool : this.nonRepeatablePool;
         pool.dispatch({
             method: request.method,
@@ -75,6 +92,12 @@
         }
     }
 
+    private handleDisconnect(error: Error): void {
+        if ((isMalformed(error) || error.message === UNEXPECTED_RESPONSE_MESSAGE) && !this.reported.has(error)) {
+            this.onExtraBytes?.();
+        }
+    }
+
     /** Closes all connections at once and fails their requests with `error`. */
     destroy(error: Error): void {
         void this.pool.destroy(error);
@@ -100,7 +123,7 @@
     private isAborted = false;
     private isFinished = false;
 
-    constructor(private readonly handler: AttemptHandler) {}
+    constructor(private readonly handler: AttemptHandler, private readonly reported: WeakSet<Error>) {}
 
     abort(): void {
         this.isAborted = true;
@@ -150,6 +173,7 @@
 
     onResponseError(_controller: Dispatcher.DispatchController, error: Error & { code?: string }): void {
         this.isFinished = true;
+        this.reported.add(error);
         if (!this.isAborted) {
             this.handler.onFailure(error, this.controller !== undefined && !UNSENT_CODES.has(error.code ?? ""));
         }
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -5,12 +5,13 @@
 import type { CrashReporter } from "./crashReporter.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
 import type { EndpointLimits } from "./endpointLimits.js";
-import { type Attempt, listRawHeaders } from "./endpointPool.js";
+import { type Attempt, isMalformed, listRawHeaders } from "./endpointPool.js";
 import type { EndpointTracker, SentRequest, TrackedEndpoint } from "./endpointTracker.js";
 import { EventStreamParser } from "./eventStreamParser.js";
 import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import { HeldAnswer } from "./heldAnswer.js";
 import type { HttpHeaderCodec, RequestHead, ResponseHead } from "./httpHeaderCodec.js";
+import { InvalidResponseReason, type InvalidResponseReasonValue, type InvalidResponses } from "./invalidResponses.js";
 import type { GatewayMetrics } from "./metrics.js";
 import { describeQuarantine, formatSuspect, type QuarantineList } from "./quarantineList.js";
 import { type Refusal, RefusalCause, refuse } from "./refusal.js";
@@ -45,6 +46,7 @@
     crashReporter: CrashReporter;
     /** Bytes of responses without events that all requests may hold. */
     answerBytes: ByteBudget;
+    invalidResponses: InvalidResponses;
     onEnd: () => void;
 }
 
@@ -131,6 +133,21 @@
         this.sendNext();
     }
 
+    countBodyBytes(): number {
+        return this.options.body.length;
+    }
+
+    /** Counts the bytes that the caller has not read. */
+    countUnreadBytes(): number {
+        return this.options.response.writableLength;
+    }
+
+    private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
+        const { invalidResponses, head } = this.options;
+        const endpoint = attempt.endpoint.view.id;
+        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status: attempt.status });
+    }
+
     private isRepeatable(): boolean {
         const { kind, isResumable } = this.options.route;
         return kind === RequestKind.Idempotent || (kind === RequestKind.Streaming && isResumable);
@@ -235,6 +252,7 @@
         this.attempt = attempt;
         this.restartStallTimer(attempt, this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
         endpoint.inFlight.add(sent);
+        this.options.invalidResponses.watch(endpoint);
         attempt.handle = endpoint.pool.send(
             {
                 method: request.method ?? "GET",
@@ -284,7 +302,12 @@
         }
         const isForeign = responseHead.requestId !== undefined && responseHead.requestId !== head.requestId;
         const isInvalid = (status < 300 && !responseHead.isSigned && !responseHead.isNotRun) || responseHead.isEncoded;
+        if (responseHead.requestId === undefined && head.requestId !== undefined) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.NoId);
+        }
         if (isForeign || isInvalid) {
+            const reason = responseHead.isEncoded ? InvalidResponseReason.Encoded : InvalidResponseReason.Unsigned;
+            this.recordInvalidResponse(attempt, isForeign ? InvalidResponseReason.OtherRequest : reason);
             this.abandon(
                 attempt,
                 isForeign ? "the response has another request's id" : "the response is not signed or is encoded",
@@ -321,6 +344,7 @@
         if (!this.isStream(attempt)) {
             this.recordFirstContent(attempt);
             if (!attempt.answer.add(chunk)) {
+                this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
                 this.abandon(attempt, "the response has more bytes than may be held");
             }
             return;
@@ -334,6 +358,7 @@
             this.options.response.write(event.bytes);
         }
         if (attempt.parser.getIncompleteBytes().length > MAX_EVENT_BYTES) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
             this.abandon(attempt, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
         }
         else if (this.options.response.writableLength > MAX_UNREAD_BYTES) {
@@ -403,6 +428,9 @@
             this.handleRejection(attempt);
             return;
         }
+        if (isMalformed(error)) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.Malformed);
+        }
         this.handleIncompleteResponse(attempt, error.message, false);
     }
 
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -8,6 +8,7 @@
 import { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import { ForwardedRequest } from "./forwardedRequest.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
+import { InvalidResponses } from "./invalidResponses.js";
 import type { GatewayMetrics } from "./metrics.js";
 import { describeQuarantine, formatSuspect, type QuarantineList } from "./quarantineList.js";
 import { readBody } from "./readBody.js";
@@ -54,9 +55,12 @@
     private readonly bias = new FirstEventBiasEstimator();
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
     private readonly ages = new RequestAgeEstimator();
+    private readonly invalidResponses: InvalidResponses;
     private isTrafficSeen = false;
 
-    constructor(private readonly options: ForwarderOptions) {}
+    constructor(private readonly options: ForwarderOptions) {
+        this.invalidResponses = new InvalidResponses(options.logger, options.metrics.invalidResponses);
+    }
 
     hasReceivedRequests(): boolean {
         return this.isTrafficSeen;
@@ -66,6 +70,17 @@
         return this.active.size;
     }
 
+    /** Counts the bytes that are held for peers, by what they are. */
+    countHeldBytes(): Record<string, number> {
+        let bodies = 0;
+        let unread = 0;
+        for (const request of this.active) {
+            bodies += request.countBodyBytes();
+            unread += request.countUnreadBytes();
+        }
+        return { bodies, answers: this.answerBytes.getHeld(), unread };
+    }
+
     forward(request: IncomingMessage, response: ServerResponse): void {
         const { codec, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
@@ -165,6 +180,7 @@
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
                 answerBytes: this.answerBytes,
+                invalidResponses: this.invalidResponses,
                 onEnd: () => {
                     this.active.delete(forwarded);
                     metrics.active.set(this.active.size);
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -79,6 +79,7 @@
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
             countPaused: () => this.tracker.countPaused(performance.now()),
+            countHeldBytes: () => this.forwarder.countHeldBytes(),
         });
         this.stopPlan = planStop(settings.stopWithinMs);
         this.quarantine = new QuarantineList(logger);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -8,6 +8,7 @@
     active: Gauge;
     quarantined: Gauge<"subject">;
     permits: Counter<"outcome">;
+    invalidResponses: Counter<"reason">;
 }
 
 export interface GatewayMetricsOptions {
@@ -15,6 +16,8 @@
     countLimited: () => number;
     /** Counts the endpoints that have asked to be sent nothing now. */
     countPaused: () => number;
+    /** Counts the bytes that are held for peers, by what they are. */
+    countHeldBytes: () => Record<string, number>;
 }
 
 /** Bucket bounds in seconds: objectives are some hundred milliseconds, deadlines some seconds. */
@@ -38,6 +41,15 @@
             this.set(options.countPaused());
         },
     });
+    new Gauge({
+        name: "kumquathall_gateway_held_bytes",
+        help: "Memory held for bodies of requests, responses without events, and events that callers have not read",
+        labelNames: ["kind"],
+        registers,
+        collect() {
+            Object.entries(options.countHeldBytes()).forEach(([kind, bytes]) => this.set({ kind }, bytes));
+        },
+    });
     return {
         answers: new Counter({
             name: "kumquathall_gateway_answers_total",
@@ -70,6 +82,12 @@
             labelNames: ["outcome"],
             registers,
         }),
+        invalidResponses: new Counter({
+            name: "kumquathall_gateway_invalid_responses_total",
+            help: "Bytes of endpoints that are not the response that a request waits for, by reason",
+            labelNames: ["reason"],
+            registers,
+        }),
         active: new Gauge({
             name: "kumquathall_gateway_active_requests",
             help: "Requests under way",
