--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -2,12 +2,13 @@
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
-import { listRawHeaders } from "./endpointPool.js";
+import { isMalformed, listRawHeaders } from "./endpointPool.js";
 import type { SentRequest, TrackedEndpoint } from "./endpointTracker.js";
 import { EventStreamParser } from "./eventStreamParser.js";
 import type { ForwardedRequestOptions } from "./forwardedRequestOptions.js";
 import { HeldAnswer } from "./heldAnswer.js";
 import { IncompleteCause, type IncompleteCauseValue } from "./incompleteCause.js";
+import { InvalidResponseReason, type InvalidResponseReasonValue } from "./invalidResponses.js";
 import { describeQuarantine } from "./quarantineList.js";
 import { type Refusal, RefusalCause } from "./refusal.js";
 import { RequestRecorder } from "./requestRecorder.js";
@@ -87,6 +88,21 @@
         this.sendNext();
     }
 
+    countBodyBytes(): number {
+        return this.options.body.length;
+    }
+
+    /** Counts the bytes that the caller has not read. */
+    countUnreadBytes(): number {
+        return this.answer.countUnreadBytes();
+    }
+
+    private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
+        const { invalidResponses, head } = this.options;
+        const endpoint = attempt.endpoint.view.id;
+        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status: attempt.status });
+    }
+
     /** Sends to the best endpoint or refuses at once. A started stream waits for a group that can continue it. */
     private sendNext(): void {
         this.choiceTimer = undefined;
@@ -187,6 +203,7 @@
         this.attempt = attempt;
         this.restartStallTimer(attempt, this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
         endpoint.inFlight.add(sent);
+        this.options.invalidResponses.watch(endpoint);
         attempt.handle = endpoint.pool.send(
             {
                 method: request.method ?? "GET",
@@ -237,7 +254,12 @@
         }
         const isForeign = responseHead.requestId !== undefined && responseHead.requestId !== head.requestId;
         const isInvalid = (status < 300 && !responseHead.isSigned && !responseHead.isNotRun) || responseHead.isEncoded;
+        if (responseHead.requestId === undefined && head.requestId !== undefined) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.NoId);
+        }
         if (isForeign || isInvalid) {
+            const reason = responseHead.isEncoded ? InvalidResponseReason.Encoded : InvalidResponseReason.Unsigned;
+            this.recordInvalidResponse(attempt, isForeign ? InvalidResponseReason.OtherRequest : reason);
             this.abandon(
                 attempt,
                 isForeign ? "the response has another request's id" : "the response is not signed or is encoded",
@@ -256,6 +278,7 @@
         if (!this.isStream(attempt)) {
             this.recordFirstContent(attempt);
             if (!attempt.answer.add(chunk)) {
+                this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
                 this.abandon(attempt, "the response has more bytes than may be held");
             }
             return;
@@ -268,6 +291,7 @@
             this.answer.writeEvent(event.bytes);
         }
         if (attempt.parser.getIncompleteBytes().length > MAX_EVENT_BYTES) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
             this.abandon(attempt, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
         }
         else if (this.answer.countUnreadBytes() > MAX_UNREAD_BYTES) {
@@ -337,6 +361,9 @@
             this.handleRejection(attempt);
             return;
         }
+        if (isMalformed(error)) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.Malformed);
+        }
         this.handleIncompleteResponse(attempt, error.message, false);
     }
 
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -8,6 +8,7 @@
 import type { EndpointTracker } from "./endpointTracker.js";
 import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import type { HttpHeaderCodec, RequestHead } from "./httpHeaderCodec.js";
+import type { InvalidResponses } from "./invalidResponses.js";
 import type { GatewayMetrics } from "./metrics.js";
 import type { QuarantineList } from "./quarantineList.js";
 import type { RouteTable } from "./routeTable.js";
@@ -44,5 +45,6 @@
     crashReporter: CrashReporter;
     /** Bytes of responses without events that all requests may hold. */
     answerBytes: ByteBudget;
+    invalidResponses: InvalidResponses;
     onEnd: () => void;
 }
