Log and count input of other writers that is refused or that no code can handle

What callers saw: requests without an answer, with no log that tells which entry, message or configuration a process had read before.

Heartbeats were refused with their id and size but without the field; facts that other members forward, and messages that a link can't handle, closed the link or were taken as they were, without a line about their writer. One event, input-refused, now names the kind, the writer and the reason, for the first of each writer at once and then as a count every 10 s; beyond 256 writers the others share a line, so a flood of odd input does not fill the log. kumquathall_input_refused_total counts all of it. Facts are checked field by field where they are recorded, at control and gateways. Nothing is refused that was accepted before.

Evidence: inputFaultLog.feature (new, 2 scenarios): 500 faults of one writer and one of another give two lines, 1,000 writers 4 lines.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -1,8 +1,15 @@
 import { ConsensusError, type ConsensusMessage, ConsensusRuntime } from "@kumquathall/consensus";
 import { ControlDirectory, getMemberAddress } from "@kumquathall/control-directory";
 import { describeError, KumquathallError } from "@kumquathall/errors";
-import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
+import {
+    createIdentity,
+    createInputFaultLog,
+    createLinkFaultHandler,
+    type RoleContext,
+    type RunningRole,
+} from "@kumquathall/kernel";
 import { type Link, LinkDialer, LinkListener, parseAddress, type PeerIdentity } from "@kumquathall/link";
+import type { InputFaultLog } from "@kumquathall/logger";
 import { LogStore, NodeDisk } from "@kumquathall/storage";
 import type {
     Command,
@@ -53,6 +60,7 @@
     private readonly stateMachine = new ControlStateMachine();
     private readonly distributor: Distributor;
     private readonly identity: PeerIdentity;
+    private readonly faults: InputFaultLog;
     private readonly dialers = new Map<string, LinkDialer>();
     /** Snapshots being received, by sender. */
     private readonly receivers = new Map<string, SnapshotReceiver>();
@@ -75,6 +83,7 @@
         private readonly options: ControlRoleOptions,
     ) {
         this.identity = createIdentity(context, "control", id);
+        this.faults = createInputFaultLog(context);
         this.distributor = new Distributor(() => this.stateMachine.getState().configuration, context.logger);
     }
 
@@ -108,7 +117,7 @@
 
     /** Records a fact about an endpoint and, if it is new, sends it to the other members. */
     recordEndpointFact(fact: EndpointFact): void {
-        if (this.endpointTask?.record(fact) === true) {
+        if (this.endpointTask?.record(fact, fact.kind === "observation" ? fact.address : fact.id) === true) {
             this.directory?.castAll({ kind: "endpointFacts", facts: [fact] });
         }
     }
@@ -196,6 +205,7 @@
                 onCall: (message, link) => this.handleCall(message as ControlCall, link),
                 onCast: (message, link) => this.handleCast(message as MemberCast, link),
                 onOpen: link => this.endpointTask?.addLink(link),
+                onFault: createLinkFaultHandler(this.faults),
                 onClose: link => {
                     this.distributor.removeWatcher(link);
                     this.endpointTask?.removeLink(link);
@@ -215,7 +225,10 @@
             this.directory = new ControlDirectory({
                 identity: this.identity,
                 seeds: founding.seeds.filter(seed => seed !== this.settings.listen),
-                handlers: { onOpen: link => this.addMemberLink(link) },
+                handlers: {
+                    onOpen: link => this.addMemberLink(link),
+                    onFault: createLinkFaultHandler(this.faults),
+                },
                 logger,
             });
             this.membershipTask = new MembershipTask({
@@ -231,6 +244,7 @@
             const options = { runtime: this.runtime, stateMachine: this.stateMachine, logger };
             this.endpointTask = new EndpointTask({
                 ...options,
+                faults: this.faults,
                 getNamedLimit: endpoint => this.limitTask?.getNamedLimit(endpoint),
             });
             this.quarantineTask = new QuarantineTask(options);
@@ -261,7 +275,7 @@
             address: parseAddress(listed ?? getMemberAddress(member)),
             tls: this.context.tls,
             identity: this.identity,
-            handlers: {},
+            handlers: { onFault: createLinkFaultHandler(this.faults) },
         });
         this.dialers.set(member, dialer);
         return dialer;
@@ -291,7 +305,7 @@
             return;
         }
         if (cast.kind === "endpointFacts") {
-            cast.facts.forEach(fact => this.endpointTask?.record(fact));
+            cast.facts.forEach(fact => this.endpointTask?.record(fact, link.peer?.id ?? ""));
             return;
         }
         if (cast.kind === "crashEvidence") {
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -1,10 +1,10 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
 import { getTraffic } from "@kumquathall/control-state";
-import { EndpointRegistry, type EndpointView, FactEffect } from "@kumquathall/endpoint-registry";
+import { EndpointRegistry, type EndpointView, FactEffect, findFactFault } from "@kumquathall/endpoint-registry";
 import { LoadBudget, planEngineOrders, type PlannedOrder } from "@kumquathall/engine-groups";
 import { estimateServiceMs } from "@kumquathall/engine-model";
 import { castToAll, type Link } from "@kumquathall/link";
-import type { Logger } from "@kumquathall/logger";
+import { InputFaultLog, type Logger } from "@kumquathall/logger";
 import type {
     Command,
     CommandResult,
@@ -23,6 +23,8 @@
     runtime: ConsensusRuntime<Command, CommandResult>;
     stateMachine: ControlStateMachine;
     logger: Logger;
+    /** Facts that can't be used are counted and logged here. */
+    faults?: InputFaultLog;
     /** Requests a second that an incarnation (`ID@MS`) accepts; `undefined` if its requests are not limited. */
     getNamedLimit?: (endpoint: string) => number | undefined;
 }
@@ -78,14 +80,22 @@
     private term = 0;
     private epochCount = 0;
     private readonly timer: NodeJS.Timeout;
+    private readonly faults: InputFaultLog;
 
     constructor(private readonly options: EndpointTaskOptions) {
+        this.faults = options.faults ?? new InputFaultLog(options);
         this.timer = setInterval(() => this.decide(performance.now()), TICK_MS);
     }
 
-    /** Records a fact and forwards it to watchers if they need it; returns whether other members need it. */
-    record(fact: EndpointFact): boolean {
+    /**
+     * Records a fact of a writer and forwards it to watchers if they need it; returns whether other members need it.
+     */
+    record(fact: EndpointFact, writer = ""): boolean {
         const now = performance.now();
+        const reason = findFactFault(fact);
+        if (reason !== undefined) {
+            this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
+        }
         if (fact.kind === "heartbeat") {
             this.recordEndpoint(fact.id, now);
         }
--- a/packages/endpoint-registry/src/index.ts
+++ b/packages/endpoint-registry/src/index.ts
@@ -6,3 +6,4 @@
     FactEffect,
     type FactEffectValue,
 } from "./endpointRegistry.js";
+export { FactLimits, findFactFault, isEndpointAddress, isEndpointId, isSocketAddress } from "./findFactFault.js";
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -1,7 +1,7 @@
-import { EndpointRegistry, type EndpointView, FactEffect } from "@kumquathall/endpoint-registry";
+import { EndpointRegistry, type EndpointView, FactEffect, findFactFault } from "@kumquathall/endpoint-registry";
 import { formatGroupKey, listEngineGroups } from "@kumquathall/engine-groups";
 import type { GroupLoad } from "@kumquathall/engine-model";
-import type { Logger } from "@kumquathall/logger";
+import { InputFaultLog, type Logger } from "@kumquathall/logger";
 import {
     AttemptStage,
     type AttemptStageValue,
@@ -70,6 +70,8 @@
 export interface EndpointTrackerOptions {
     getService: (name: string) => TrafficService | undefined;
     logger: Logger;
+    /** Facts that can't be used are counted and logged here. */
+    faults?: InputFaultLog;
     /** Called when the process of an endpoint has ended by itself while requests ran on it. */
     onCrash?: (crash: EndpointCrash) => void;
     /** Resolves with whether an address refuses connections; endpoints without a sidecar are checked. */
@@ -126,12 +128,21 @@
     /** Heads of complete, open groups, by service and model. */
     private headsByModel = new Map<string, EndpointView[]>();
 
-    constructor(private readonly options: EndpointTrackerOptions) {}
+    private readonly faults: InputFaultLog;
 
-    record(facts: EndpointFact[], now: number): void {
+    constructor(private readonly options: EndpointTrackerOptions) {
+        this.faults = options.faults ?? new InputFaultLog(options);
+    }
+
+    /** Records facts that `writer` has sent. */
+    record(facts: EndpointFact[], now: number, writer = ""): void {
         let isStateChanged = false;
         const addresses = new Set<string>();
         for (const fact of facts) {
+            const reason = findFactFault(fact);
+            if (reason !== undefined) {
+                this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
+            }
             const effect = this.registry.record(fact, now);
             isStateChanged ||= effect === FactEffect.State;
             if (effect !== FactEffect.None && fact.kind !== "departure") {
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,6 +1,12 @@
 import { ControlDirectory } from "@kumquathall/control-directory";
 import { describeError } from "@kumquathall/errors";
-import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
+import {
+    createIdentity,
+    createInputFaultLog,
+    createLinkFaultHandler,
+    type RoleContext,
+    type RunningRole,
+} from "@kumquathall/kernel";
 import { type Link, parseAddress } from "@kumquathall/link";
 import type {
     ConfigurationUpdate,
@@ -76,6 +82,7 @@
         private readonly codec: HttpHeaderCodec,
     ) {
         const { logger } = context;
+        const faults = createInputFaultLog(context);
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
             countPaused: () => this.tracker.countPaused(performance.now()),
@@ -94,6 +101,7 @@
         this.tracker = new EndpointTracker({
             getService: name => this.reader.getTable()?.getService(name),
             logger,
+            faults,
             onCrash: crash => this.crashReporter.reportCrash(crash, performance.now()),
             onLeaving: fact => this.directory.castAll({ kind: "endpointFacts", facts: [fact] }),
         });
@@ -141,6 +149,7 @@
                 onOpen: link => this.attachLink(link),
                 onClose: link => this.reader.removeLink(link),
                 onCast: (message, link) => this.handleCast(message as ControlCast, link),
+                onFault: createLinkFaultHandler(faults),
             },
             logger,
         });
@@ -263,13 +272,13 @@
         }
         void this.reader.watch(link);
         link.call({ kind: "watchEndpoints" })
-            .then(answer => this.recordFacts(answer as ControlAnswer))
+            .then(answer => this.recordFacts(answer as ControlAnswer, link))
             .catch(error => link.close(`no endpoints: ${describeError(error)}`));
     }
 
-    private recordFacts(answer: ControlAnswer): void {
+    private recordFacts(answer: ControlAnswer, link: Link): void {
         if (answer.kind === "endpoints") {
-            this.tracker.record(answer.facts, performance.now());
+            this.tracker.record(answer.facts, performance.now(), link.peer?.id);
         }
     }
 
@@ -278,7 +287,7 @@
             this.reader.recordRevision(link, message.revision);
         }
         else if (message.kind === "endpointFacts") {
-            this.tracker.record(message.facts, performance.now());
+            this.tracker.record(message.facts, performance.now(), link.peer?.id);
         }
         else if (message.kind === "endpointLimits") {
             this.limits.record(message.facts, performance.now());
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -5,6 +5,7 @@
     Link,
     type LinkCallHandler,
     LinkError,
+    type LinkFault,
     type LinkHandlers,
     type LinkOptions,
     type LinkTraffic,
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -32,6 +32,14 @@
     onCall?: LinkCallHandler;
     onCast?: (message: unknown, link: Link) => void;
     onClose?: (link: Link, reason: string) => void;
+    /** Called when a received or sent message can't be handled. */
+    onFault?: (link: Link, fault: LinkFault) => void;
+}
+
+/** A message that can't be handled. `kind` is one of few values. */
+export interface LinkFault {
+    kind: "frame" | "cast" | "sent-message";
+    error: unknown;
 }
 
 export interface LinkOptions {
@@ -115,6 +123,7 @@
             if (!(error instanceof FrameError)) {
                 throw error;
             }
+            this.reportFault("sent-message", error);
             this.close(describeError(error));
         }
     }
@@ -212,6 +221,7 @@
             frames = this.decoder.decode(data);
         }
         catch (error) {
+            this.reportFault("frame", error);
             this.close(describeError(error));
             return;
         }
@@ -261,6 +271,7 @@
             this.options.handlers.onCast?.(message, this);
         }
         catch (error) {
+            this.reportFault("cast", error);
             this.close(`a received message can't be handled: ${describeError(error)}`);
         }
     }
@@ -274,6 +285,10 @@
         this.options.handlers.onOpen?.(this);
     }
 
+    private reportFault(kind: LinkFault["kind"], error: unknown): void {
+        this.options.handlers.onFault?.(this, { kind, error });
+    }
+
     private removePendingCall(id: number): PendingCall | undefined {
         const call = this.pendingCalls.get(id);
         if (call !== undefined) {
--- a/packages/sidecar/src/sidecarRole.ts
+++ b/packages/sidecar/src/sidecarRole.ts
@@ -1,6 +1,12 @@
 import { ControlDirectory } from "@kumquathall/control-directory";
 import { describeError } from "@kumquathall/errors";
-import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
+import {
+    createIdentity,
+    createInputFaultLog,
+    createLinkFaultHandler,
+    type RoleContext,
+    type RunningRole,
+} from "@kumquathall/kernel";
 import type { Link } from "@kumquathall/link";
 import { EngineGroupState, type EngineStatus, type ObservationFact, type OrderMessage } from "@kumquathall/types";
 import { type EngineClient, EngineUnreachableError } from "./engineClient.js";
@@ -53,6 +59,7 @@
             handlers: {
                 onOpen: link => this.reportTo(link),
                 onCast: message => void this.forwardOrder(message as OrderMessage),
+                onFault: createLinkFaultHandler(createInputFaultLog(context)),
             },
             logger: context.logger,
             heartbeatMs: LINK_HEARTBEAT_MS,
