Keep an engine that is slow to join for the group it was ordered into

Cause: the planner decided who is free by the engines' own reports only. An engine whose join had not taken effect yet was free in the same plan that ordered it again, and was planned into a second, newer group; once it had joined the first and that had opened, the leader went on ordering it into the second. And a join that got no answer can take effect as long as the engine has carried out nothing else: an older group was formed again with a member that was still to join a newer one.

Now the members of a group that is being formed are not free; a newer group is given up if a member has joined an older one that is active; a group that does not serve yet is given up if a member may still join another; and a plan sends an engine one order only.

Remaining: a new leader does not know the joins of a former one that may still take effect after the two seconds that it waits.

--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -251,6 +251,7 @@
             isOrderPending: view => this.orders.isPending(view, now),
             admitLoad: (durationMs, keptFree) => !this.isTrafficSeen || budget.admitLoad(now, durationMs, keptFree),
             getOrderedMembers: key => this.orders.getMembers(key),
+            canJoinOther: (view, key) => this.orders.canJoinOther(view, key),
             isOpening: key => this.orders.isOpening(key, now, engine.formationMs + OPEN_MARGIN_MS),
             getStagingModel: view => this.orders.getStagingModel(view),
             getAcceptedPart: (head, model) => this.computeAcceptedPart(head, engine, model),
--- a/packages/engine-groups/src/orderTracker.ts
+++ b/packages/engine-groups/src/orderTracker.ts
@@ -7,6 +7,13 @@
     sentAt: number;
 }
 
+interface SentJoin {
+    bornMs: number;
+    groupKey: string;
+    /** Order count of the endpoint at which the join applies. */
+    expectedSequence: number;
+}
+
 /** An order without a visible effect is sent again after this time, in milliseconds: a few reports of the sidecar. */
 const RESEND_AFTER_MS = 500;
 
@@ -14,6 +21,8 @@
 export class OrderTracker {
     /** Newest order to each endpoint, by id. */
     private readonly sent = new Map<string, SentOrder>();
+    /** Joins that may still take effect, by endpoint id: an endpoint carries out the one that it gets first. */
+    private readonly joins = new Map<string, SentJoin[]>();
     /** Members ordered into each group, by the group's key. */
     private readonly members = new Map<string, string[]>();
     /** Models being staged, by endpoint id. */
@@ -25,6 +34,7 @@
         this.sent.set(target.id, { bornMs: target.bornMs, order, sentAt: now });
         if (order.kind === "join") {
             this.members.set(`${order.group}@${order.epoch}`, order.members);
+            this.recordJoin(target, `${order.group}@${order.epoch}`, order.expectedSequence);
         }
         if (order.kind === "leave") {
             this.members.set(`${order.group}@${order.epoch}`, []);
@@ -47,6 +57,7 @@
         else if (sent?.order.kind === "stage" && now - sent.sentAt >= RESEND_AFTER_MS) {
             this.staging.delete(view.id);
         }
+        this.dropJoins(view);
         const staging = this.staging.get(view.id);
         const isStaged = staging !== undefined && view.engine?.staged.includes(staging.model) === true;
         if (staging !== undefined && (staging.bornMs !== view.bornMs || isStaged)) {
@@ -54,6 +65,11 @@
         }
     }
 
+    /** Whether an endpoint was ordered to join another group than this one, and may still do so. */
+    canJoinOther(view: EndpointView, groupKey: string): boolean {
+        return this.joins.get(view.id)?.some(join => join.groupKey !== groupKey) === true;
+    }
+
     /** Whether the newest order to an endpoint may still take effect without being sent again. */
     isPending(view: EndpointView, now: number): boolean {
         const sent = this.sent.get(view.id);
@@ -73,8 +89,30 @@
         return this.staging.get(view.id)?.model;
     }
 
+    private recordJoin(target: EndpointView, groupKey: string, expectedSequence: number): void {
+        const others = (this.joins.get(target.id) ?? []).filter(join => join.groupKey !== groupKey);
+        this.joins.set(target.id, [...others, { bornMs: target.bornMs, groupKey, expectedSequence }]);
+    }
+
+    /** Drops joins that no longer take effect: the endpoint has carried out another order since, or has restarted. */
+    private dropJoins(view: EndpointView): void {
+        const joins = this.joins.get(view.id);
+        if (joins === undefined) {
+            return;
+        }
+        const sequence = view.engine?.orderSequence ?? 0;
+        const left = joins.filter(join => join.bornMs === view.bornMs && !(join.expectedSequence < sequence));
+        if (left.length === 0) {
+            this.joins.delete(view.id);
+        }
+        else if (left.length < joins.length) {
+            this.joins.set(view.id, left);
+        }
+    }
+
     clear(): void {
         this.sent.clear();
+        this.joins.clear();
         this.members.clear();
         this.openedAt.clear();
         this.staging.clear();
--- a/packages/engine-groups/src/planOrders.feature
+++ b/packages/engine-groups/src/planOrders.feature
@@ -171,3 +171,11 @@
         And 40000 ms pass
         Then more groups of "small" serve than before
         And no serving group was dissolved
+
+    # Guards against an engine whose join takes effect late being planned into a second group, and taken out of the first
+    # after that has opened.
+    Scenario: An engine that is slow to join is not planned into a second group
+        Given models "big" of 2 members and "small" of 3 members with shares 0.6 and 0.4
+        And 15 engines in each of 1 domains
+        When engines leave 0.35 of the orders unanswered and carry them out late, and 2 crash every 4500 ms for 60000 ms with each of 20 seeds
+        Then no group opened incomplete and no member left a serving group
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -27,6 +27,8 @@
     admitLoad: (durationMs: number, reservedSlots: number) => boolean;
     /** Members that this leader ordered into a group: none after it ordered the head to leave, undefined if unknown. */
     getOrderedMembers: (groupKey: string) => string[] | undefined;
+    /** Whether the endpoint was ordered to join another group than this one, and may still do so. */
+    canJoinOther: (view: EndpointView, groupKey: string) => boolean;
     /** Whether the head was recently ordered to open and may still do so. */
     isOpening: (groupKey: string) => boolean;
     /** Name of the model that an endpoint was ordered to stage and has not staged yet. */
@@ -72,6 +74,10 @@
 class OrderPlan {
     private readonly orders: PlannedOrder[] = [];
     private readonly groups: EngineGroup[];
+    /** Endpoints that get an order by this plan, by id: a second order would not match the state that the first leaves. */
+    private readonly orderedIds = new Set<string>();
+    /** Endpoints that are ordered into a group that is being formed, by id, whether they have joined it or not. */
+    private readonly formingIds = new Set<string>();
     /** Usable endpoints that belong to no active group, by fabric domain. */
     private readonly free = new Map<string, EndpointView[]>();
     /** Number of replica groups that serve or are being formed, by model. */
@@ -115,10 +121,13 @@
      */
     private planExistingGroups(): Set<string> {
         const activeKeys = new Set<string>();
-        for (const group of this.groups.filter(item => !item.isStandby)) {
-            const isForming = this.isForming(group);
-            const mustKeep = !group.isComplete && !isForming && !this.isConfirmedDegraded(group);
-            if (group.isComplete || isForming || mustKeep) {
+        // Older groups first: a newer one is given up if a member has joined an older one that is still active.
+        const groups = this.groups.filter(item => !item.isStandby).sort((left, right) => left.epoch - right.epoch);
+        for (const group of groups) {
+            const isForming = this.isForming(group, activeKeys);
+            const isComplete = group.isComplete && this.canKeepMembers(group);
+            const mustKeep = !isComplete && !isForming && !this.isConfirmedDegraded(group);
+            if (isComplete || isForming || mustKeep) {
                 activeKeys.add(group.key);
                 this.countGroup(group.model, this.getAcceptedPart(group));
             }
@@ -128,10 +137,10 @@
             else if (this.isDraining(group)) {
                 activeKeys.add(group.key);
             }
-            else if (!group.isComplete && !mustKeep) {
+            else if (!isComplete && !mustKeep) {
                 this.releaseMembers(group, activeKeys);
             }
-            else if (group.isComplete && this.canOpen(group) && !this.input.isOpening(group.key)) {
+            else if (isComplete && this.canOpen(group) && !this.input.isOpening(group.key)) {
                 this.push(
                     group.head!,
                     { kind: "open", group: group.name, epoch: group.epoch },
@@ -142,8 +151,11 @@
         return activeKeys;
     }
 
-    /** Whether all ordered members are alive, staying and in no newer group, and some have not reported joining yet. */
-    private isForming(group: EngineGroup): boolean {
+    /**
+     * Whether all ordered members are alive, staying and in no newer or active group, and some have not reported joining
+     * yet. Joins may take effect seconds after they were ordered, and after joins that were ordered later.
+     */
+    private isForming(group: EngineGroup, activeKeys: Set<string>): boolean {
         const ordered = this.input.getOrderedMembers(group.key);
         if (ordered === undefined || ordered.length === 0 || group.isComplete || group.isOpen) {
             return false;
@@ -154,10 +166,24 @@
                 return false;
             }
             const other = view.engine?.group;
-            return other === undefined || other.epoch <= group.epoch;
+            if (other === undefined || other.epoch > group.epoch) {
+                return other === undefined;
+            }
+            return other.epoch === group.epoch
+                ? !this.input.canJoinOther(view, group.key)
+                : !activeKeys.has(formatGroupKey(other.name, other.epoch));
         });
     }
 
+    /**
+     * Whether a complete group keeps its members: one that does not serve yet is given up if a member was ordered into
+     * another group and may still join it.
+     */
+    private canKeepMembers(group: EngineGroup): boolean {
+        return group.isOpen || this.input.isOpening(group.key)
+            || !group.members.some(member => this.input.canJoinOther(member, group.key));
+    }
+
     /**
      * Whether members are leaving while the head still runs requests. Gateways send no new requests to the head, and
      * a leaving member terminates after a while even if the head still runs some, so draining always ends.
@@ -180,6 +206,7 @@
     private completeJoins(group: EngineGroup): void {
         const ordered = this.input.getOrderedMembers(group.key) ?? [];
         for (const id of ordered) {
+            this.formingIds.add(id);
             const view = this.findView(id);
             const current = view?.engine?.group;
             if (view !== undefined && (current?.epoch !== group.epoch || current.name !== group.name)) {
@@ -231,7 +258,8 @@
             }
             this.usable.set(domain, [...this.usable.get(domain) ?? [], view]);
             const group = view.engine?.group;
-            if (group === undefined || !activeKeys.has(formatGroupKey(group.name, group.epoch))) {
+            const isInGroup = group !== undefined && activeKeys.has(formatGroupKey(group.name, group.epoch));
+            if (!isInGroup && !this.formingIds.has(view.id)) {
                 this.free.set(domain, [...this.free.get(domain) ?? [], view]);
             }
         }
@@ -534,8 +562,10 @@
 
     /** Orders a load into the host's memory if the budget admits it; returns whether it did. */
     private stage(view: EndpointView, model: EngineModelProfile, reservedSlots = 0): boolean {
-        const hasOrder = this.orders.some(item => item.target === view);
-        if (hasOrder || this.input.getStagingModel(view) !== undefined || this.input.isOrderPending(view)) {
+        if (
+            this.orderedIds.has(view.id) || this.input.getStagingModel(view) !== undefined
+            || this.input.isOrderPending(view)
+        ) {
             return false;
         }
         if (!this.input.admitLoad(model.loadMs, reservedSlots)) {
@@ -557,9 +587,10 @@
     }
 
     private push(target: EndpointView, order: OrderBody, reason: string): void {
-        if (target.engine === undefined || this.input.isOrderPending(target)) {
+        if (target.engine === undefined || this.orderedIds.has(target.id) || this.input.isOrderPending(target)) {
             return;
         }
+        this.orderedIds.add(target.id);
         const fencedOrder = { ...order, expectedSequence: target.engine.orderSequence, fence: this.input.fence };
         this.orders.push({ target, order: fencedOrder, reason });
     }
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -220,6 +220,7 @@
             admitLoad: (durationMs, reservedSlots) =>
                 this.isBeforeTraffic || this.budget.admitLoad(this.now, durationMs, reservedSlots),
             getOrderedMembers: key => this.tracker.getMembers(key),
+            canJoinOther: (view, key) => this.tracker.canJoinOther(view, key),
             isOpening: key => this.tracker.isOpening(key, this.now, this.profile.formationMs + OPEN_MARGIN_MS),
             getStagingModel: view => this.tracker.getStagingModel(view),
             getAcceptedPart: head => this.acceptedParts.get(head.id) ?? 1,
