Move a silent request only with a retry and another endpoint in hand

Cause: an attempt that was silent for computeStreamIdleTimeoutMs was aborted first; whether the retry budget had a retry and another endpoint could take the request was asked afterwards, and if not, the stream ended with a closed connection. A pause that concerns many streams at once empties the budget, so most of them were lost. Repeatable requests without a first byte ended with 502 in the same way.

Now the replacement is found first: the route's bound, the deadline, the quarantine, the budget and the choice of an endpoint. Only then is the silent attempt given up. Otherwise it stays, and a replacement is looked for again every 250 ms until the deadline, so a stream at an endpoint that is really gone still moves once a retry is there.

Evidence: endpointSilence.feature, virtual time.

--- /dev/null
+++ b/packages/gateway/src/endpointSilence.feature
@@ -0,0 +1,25 @@
+@endpoint-silence
+Feature: Silence of an endpoint ends no work that the endpoint would complete
+
+    # Guards against streams that are closed for a pause of their endpoint although no other endpoint can continue them.
+    Scenario: Streams whose endpoint pauses go on there when the retry budget is empty
+        Given a gateway with 2 endpoints, 1 retry and resumable streams
+        And 6 callers that have received events 1 to 3
+        When the endpoints send nothing for 1600 ms
+        And they complete their streams with event 6
+        Then each caller has received events 1 to 6 and the end of its stream
+
+    # Guards against streams that stay at an endpoint that has ended silently although another one could continue them.
+    Scenario: A stream that waits at a silent endpoint goes on at another once there is a retry
+        Given a gateway with 2 endpoints, 1 retry, 2 more a second from 5000 ms on, and resumable streams
+        And 2 callers that have received events 1 to 3
+        When the endpoints send nothing for 5900 ms
+        Then both streams have gone on at the other endpoint
+
+    # Guards against requests that fail with 502 for a pause of their endpoint, since nothing else can take them.
+    Scenario: A repeatable request whose endpoint is slow is answered when no other endpoint can take it
+        Given a gateway with 1 endpoint, 1 retry and repeatable requests
+        And a caller that has sent a request
+        When the endpoints send nothing for 1600 ms
+        And they answer with status 200
+        Then each caller has an answer with status 200
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -27,6 +27,8 @@
 /** Limits of one event and of what a caller has not read, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
+/** Interval between searches for an endpoint in place of a silent one, in milliseconds. */
+const REPLACEMENT_CHECK_MS = 250;
 /** Delay of a timer from which the process counts as stalled, in milliseconds. */
 const LATE_TIMER_MS = 100;
 const FIRST_SERVER_ERROR = 500;
@@ -204,21 +206,48 @@
         );
     }
 
-    /** Retries at another endpoint if this one sends nothing for `stallMs` and the request may still be repeated. */
+    /** Moves the request to another endpoint once this one has sent nothing for `stallMs`. */
     private restartStallTimer(attempt: RunningAttempt, stallMs: number): void {
         clearTimeout(this.stallTimer);
         const expiresAt = performance.now() + stallMs;
         this.stallTimer = setTimeout(() => {
-            if (this.attempt !== attempt || !this.retries.canUseAnotherEndpoint()) {
-                return;
-            }
-            attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
             const hasProcessStalled = performance.now() - expiresAt >= LATE_TIMER_MS;
             const cause = hasProcessStalled ? IncompleteCause.ProcessStalled : IncompleteCause.EndpointSilent;
-            this.abandon(attempt, "the endpoint has stalled", cause);
+            this.handleStall(attempt, cause);
         }, stallMs);
     }
 
+    /** Moves a request from a silent endpoint if another takes it; otherwise the endpoint may still complete it. */
+    private handleStall(attempt: RunningAttempt, cause: IncompleteCauseValue): void {
+        if (this.attempt !== attempt) {
+            return;
+        }
+        const next = this.takeReplacement();
+        if (next === undefined) {
+            this.restartStallTimer(attempt, REPLACEMENT_CHECK_MS);
+            return;
+        }
+        attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
+        attempt.handle.abort();
+        this.release(attempt);
+        this.recordIncompleteResponse(attempt, "the endpoint has stalled", false, cause);
+        this.sendTo(next);
+    }
+
+    /** Chooses an endpoint in place of the one that runs the request now, and takes a retry for it. */
+    private takeReplacement(): TrackedEndpoint | undefined {
+        if (!this.retries.canReplaceEndpoint() || this.subjects.findQuarantine() !== undefined) {
+            return undefined;
+        }
+        const current = this.choice;
+        const { endpoint } = this.chooseEndpoint();
+        if (endpoint !== undefined && this.retries.takeReplacement()) {
+            return endpoint;
+        }
+        this.choice = current;
+        return undefined;
+    }
+
     private handleHead(
         attempt: RunningAttempt,
         status: number,
@@ -368,14 +397,10 @@
         this.options.tracker.recordBrokenAttempt(attempt.endpoint, attempt.sent);
     }
 
-    private abandon(
-        attempt: RunningAttempt,
-        reason: string,
-        cause: IncompleteCauseValue = IncompleteCause.EndpointBroke,
-    ): void {
+    private abandon(attempt: RunningAttempt, reason: string): void {
         attempt.handle.abort();
         this.release(attempt);
-        this.handleIncompleteResponse(attempt, reason, false, cause);
+        this.handleIncompleteResponse(attempt, reason, false);
     }
 
     /** Handles a rejection: the endpoint guarantees that it has not run the request. */
@@ -395,6 +420,20 @@
         reason: string,
         isEndpointLost: boolean,
         cause: IncompleteCauseValue = IncompleteCause.EndpointBroke,
+    ): void {
+        this.recordIncompleteResponse(attempt, reason, isEndpointLost, cause);
+        if (this.retries.takeRetry()) {
+            this.sendNext();
+            return;
+        }
+        this.finishWithoutResponse(RefusalCause.EndpointFailed);
+    }
+
+    private recordIncompleteResponse(
+        attempt: RunningAttempt,
+        reason: string,
+        isEndpointLost: boolean,
+        cause: IncompleteCauseValue,
     ): void {
         this.incomplete = cause;
         this.retries.recordRun(isEndpointLost);
@@ -403,11 +442,6 @@
             this.options.tracker.recordBrokenAttempt(attempt.endpoint, attempt.sent);
         }
         this.recorder.recordAttempt(attempt, reason, this.lastEventId);
-        if (this.retries.takeRetry()) {
-            this.sendNext();
-            return;
-        }
-        this.finishWithoutResponse(RefusalCause.EndpointFailed);
     }
 
     private isStream(attempt: RunningAttempt): boolean {
--- a/packages/gateway/src/retryAllowance.ts
+++ b/packages/gateway/src/retryAllowance.ts
@@ -48,9 +48,14 @@
         return kind === RequestKind.Idempotent || (kind === RequestKind.Streaming && isResumable);
     }
 
-    /** Whether the route allows another endpoint to run the request, should the endpoint that runs it now fail. */
-    canUseAnotherEndpoint(): boolean {
-        return this.isRepeatable() && this.usedEndpoints + 1 < this.options.route.maxEndpoints;
+    /** Whether another endpoint may run the request in place of the one that runs it now, and a retry is left for it. */
+    canReplaceEndpoint(): boolean {
+        return this.findObstacle(1) === undefined && this.options.budget.hasRetry();
+    }
+
+    /** Takes a retry for an endpoint in place of the one that runs the request now; `false` if there is none. */
+    takeReplacement(): boolean {
+        return this.decide(this.findObstacle(1));
     }
 
     /** Counts an attempt that may have run. Lost endpoints do not count towards the route's limit. */
@@ -68,7 +73,7 @@
 
     /** Takes a retry after an attempt that may have run; `false` if there is none. */
     takeRetry(): boolean {
-        return this.decide(this.findObstacle());
+        return this.decide(this.findObstacle(0));
     }
 
     /** Why the latest retry was not granted; `undefined` if none was refused. */
@@ -76,12 +81,13 @@
         return this.refusal;
     }
 
-    private findObstacle(): NoRetryValue | undefined {
+    /** Finds what forbids a retry beside `running` endpoints that run the request now. */
+    private findObstacle(running: number): NoRetryValue | undefined {
         const { route, timing } = this.options;
         if (!this.isRepeatable()) {
             return NoRetry.NotRepeatable;
         }
-        if (this.usedEndpoints >= route.maxEndpoints || this.lostEndpoints >= MAX_LOST_ENDPOINTS) {
+        if (this.usedEndpoints + running >= route.maxEndpoints || this.lostEndpoints >= MAX_LOST_ENDPOINTS) {
             return NoRetry.Endpoints;
         }
         return timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS ? undefined : NoRetry.Time;
--- a/packages/gateway/src/sharedRetryBudget.ts
+++ b/packages/gateway/src/sharedRetryBudget.ts
@@ -41,6 +41,12 @@
         this.budget.recordRequest();
     }
 
+    /** Whether this gateway's share has a retry. */
+    hasRetry(): boolean {
+        this.refresh();
+        return this.budget.hasRetry();
+    }
+
     /** Takes one retry out of the budget; `false` when this gateway's share is spent. */
     takeRetry(): boolean {
         this.refresh();
--- /dev/null
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -0,0 +1,170 @@
+import { createLogger } from "@kumquathall/logger";
+import { RequestKind, type TrafficRoute } from "@kumquathall/types";
+import { createServer, type Server } from "node:http";
+import { Registry } from "prom-client";
+import { CallerConnections } from "../callerConnections.js";
+import { CrashReporter } from "../crashReporter.js";
+import { EndpointLimits } from "../endpointLimits.js";
+import { EndpointTracker } from "../endpointTracker.js";
+import { Forwarder } from "../forwarder.js";
+import { registerGatewayMetrics } from "../metrics.js";
+import { QuarantineList } from "../quarantineList.js";
+import { RouteTable } from "../routeTable.js";
+import { CallerSocket } from "./callerSocket.js";
+import { PlainHeaderCodec } from "./plainHeaderCodec.js";
+import { ScriptedEndpoint } from "./scriptedEndpoint.js";
+
+/** Fake timers and clocks; immediates must be real, so that they run after the I/O of their turn. */
+export interface VirtualClock {
+    tickAsync(ms: number): Promise<unknown>;
+}
+
+export interface ForwardingHarnessOptions {
+    clock: VirtualClock;
+    endpoints: number;
+    /** Retries that the gateway may send in a window, beyond the first. */
+    retrySlack?: number;
+    route?: Partial<TrafficRoute>;
+}
+
+const SERVICE = "s";
+const HOST = "h.example";
+/** Turns of the event loop in which messages between streams arrive. */
+const TURNS = 6;
+
+/** A gateway's forwarding in virtual time, without a network: callers and endpoints are scripted by the test. */
+export class ForwardingHarness {
+    readonly endpoints: ScriptedEndpoint[];
+    readonly lines: string[] = [];
+    readonly connections: CallerConnections;
+    readonly forwarder: Forwarder;
+    readonly tracker: EndpointTracker;
+    isStopping = false;
+    private readonly server: Server;
+    private readonly callers: CallerSocket[] = [];
+    private requests = 0;
+
+    constructor(private readonly options: ForwardingHarnessOptions) {
+        const logger = createLogger({ write: line => this.lines.push(line) });
+        const metrics = registerGatewayMetrics(new Registry(), { countLimited: () => 0, countPaused: () => 0 });
+        const table = buildTable(options.route);
+        this.tracker = new EndpointTracker({ getService: name => table.getService(name), logger });
+        this.endpoints = Array.from(
+            { length: options.endpoints },
+            (_, at) => ScriptedEndpoint.register(this.tracker, SERVICE, `e${at + 1}`),
+        );
+        this.server = createServer({ requestTimeout: 0 }, (request, response) => {
+            this.connections.addRequest(request, response);
+            this.forwarder.forward(request, response);
+        });
+        this.connections = new CallerConnections({
+            server: this.server,
+            logger,
+            metrics,
+            isStopping: () => this.isStopping,
+        });
+        this.forwarder = new Forwarder({
+            tracker: this.tracker,
+            limits: new EndpointLimits({
+                logger,
+                sendAll: () => undefined,
+                takePermits: () => Promise.resolve([]),
+                countGateways: () => 1,
+            }),
+            connections: this.connections,
+            codec: new PlainHeaderCodec(),
+            logger,
+            metrics,
+            getTable: () => table,
+            isConfigurationBehind: () => false,
+            isStopping: () => this.isStopping,
+            canAccept: () => true,
+            onFirstRequest: () => undefined,
+            quarantine: new QuarantineList(logger),
+            crashReporter: new CrashReporter({ id: "g", sendAll: () => undefined }),
+            countGateways: () => 1,
+            retrySlack: options.retrySlack ?? 0,
+            retryRatio: 0,
+            retryWindowMs: 10_000,
+        });
+    }
+
+    /** Opens a caller's connection. */
+    openConnection(): CallerSocket {
+        const caller = new CallerSocket();
+        this.callers.push(caller);
+        this.server.emit("connection", caller);
+        return caller;
+    }
+
+    /** Sends a request and waits until the gateway has it. */
+    async sendRequest(caller: CallerSocket, headers: Record<string, string> = {}): Promise<void> {
+        const lines = Object.entries({ host: HOST, "request-id": `r-${++this.requests}`, ...headers });
+        caller.send(["GET /a/ HTTP/1.1", ...lines.map(([name, value]) => `${name}: ${value}`), "", ""].join("\r\n"));
+        await this.settle();
+    }
+
+    /** Advances the clock and lets everything that becomes due happen. */
+    async advance(ms: number): Promise<void> {
+        await this.options.clock.tickAsync(ms);
+        await this.settle();
+    }
+
+    /** Lets messages between streams arrive. */
+    async settle(): Promise<void> {
+        for (let turn = 0; turn < TURNS; turn++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+
+    close(): void {
+        this.callers.forEach(caller => caller.destroy());
+        this.tracker.close();
+    }
+}
+
+function buildTable(route: Partial<TrafficRoute> = {}): RouteTable {
+    const table = new RouteTable();
+    table.apply({
+        since: 0,
+        revision: 1,
+        isSnapshot: true,
+        changes: [
+            {
+                key: "traffic",
+                revision: 1,
+                value: {
+                    kind: "traffic",
+                    version: 1,
+                    services: [{ name: SERVICE, maxConnections: 100, engine: undefined }],
+                    limits: {
+                        maxHeaderBytes: 16_384,
+                        maxBodyBytes: 65_536,
+                        headerTimeoutMs: 3000,
+                        idleTimeoutMs: 15_000,
+                    },
+                },
+            },
+            { key: "traffic/route/r", revision: 1, value: { kind: "trafficRoute", route: buildRoute(route) } },
+        ],
+    });
+    return table;
+}
+
+function buildRoute(route: Partial<TrafficRoute>): TrafficRoute {
+    return {
+        name: "r",
+        host: HOST,
+        pathPrefix: "/a/",
+        kind: RequestKind.Streaming,
+        timeoutMs: 8000,
+        objectiveMs: 400,
+        gapObjectiveMs: 300,
+        priority: 1,
+        targets: [{ service: SERVICE, weight: 1 }],
+        maxEndpoints: 2,
+        isPublic: true,
+        isResumable: true,
+        ...route,
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/testing/plainHeaderCodec.ts
@@ -0,0 +1,57 @@
+import type { HeaderField } from "@kumquathall/types";
+import { type ForwardHeaderValues, HttpHeaderCodec, type RequestHead, type ResponseHead } from "../httpHeaderCodec.js";
+
+type Headers = Record<string, string | string[] | undefined>;
+
+const HOP_BY_HOP_HEADERS = new Set(["connection", "transfer-encoding", "content-length"]);
+
+/** Headers of the tests of this package, which know no platform. */
+export class PlainHeaderCodec extends HttpHeaderCodec {
+    override readonly readyPath = "/ready";
+
+    override decodeRequest(headers: Map<string, string>): RequestHead {
+        const lastEventId = headers.get("last-event-id");
+        return {
+            requestId: headers.get("request-id"),
+            deadlineMs: undefined,
+            key: undefined,
+            model: undefined,
+            promptTokens: undefined,
+            promptParts: [],
+            maxAnswerTokens: undefined,
+            answerTokensHint: undefined,
+            lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
+        };
+    }
+
+    override encodeForwardedRequest(_headers: HeaderField[], values: ForwardHeaderValues): Record<string, string> {
+        return values.lastEventId === undefined ? {} : { "last-event-id": String(values.lastEventId) };
+    }
+
+    override decodeResponse(_status: number, headers: Headers): ResponseHead {
+        return {
+            requestId: undefined,
+            isNotRun: headers["not-run"] !== undefined,
+            isSigned: headers["signed"] !== undefined,
+            isEncoded: false,
+            load: undefined,
+            limit: undefined,
+            isLeaving: false,
+            pauseMs: undefined,
+        };
+    }
+
+    override encodeResponse(headers: Headers): Record<string, string | string[]> {
+        const kept: Record<string, string | string[]> = {};
+        for (const [name, value] of Object.entries(headers)) {
+            if (value !== undefined && !HOP_BY_HOP_HEADERS.has(name)) {
+                kept[name] = value;
+            }
+        }
+        return kept;
+    }
+
+    override encodeRefusal(): Record<string, string> {
+        return {};
+    }
+}
--- a/packages/retries/src/retryBudget.ts
+++ b/packages/retries/src/retryBudget.ts
@@ -38,9 +38,14 @@
         this.tokens = Math.min(this.maxTokens, this.tokens + tokens);
     }
 
+    /** Whether there is a retry in the budget. */
+    hasRetry(): boolean {
+        return this.tokens >= 1;
+    }
+
     /** Takes one retry from the budget; returns `false` if there is none. */
     takeRetry(): boolean {
-        if (this.tokens < 1) {
+        if (!this.hasRetry()) {
             return false;
         }
         this.tokens--;
