Leave out endpoints whose address can't be connected to

What callers saw: after one heartbeat of another writer with an unreadable byte in its address or a port out of range, every gateway ended at its next request for that service, with all that it had in flight, and after each restart again until the entry expired.

Cause: the address was matched by a pattern that later code did not share. Making the connection pool threw "Invalid URL" while an endpoint was chosen, for every request of the service, and nothing caught it. The class: text of another writer is accepted by one reading and used by another.

Control members and gateways check every field of every fact before they record it (findFactFault, with host names allowed) and drop those that can't be used, one by one; and a gateway that can't make connections to an endpoint leaves that one out of its choice. Each is logged with its writer.

--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -88,13 +88,15 @@
     }
 
     /**
-     * Records a fact of a writer and forwards it to watchers if they need it; returns whether other members need it.
+     * Records a fact of a writer and forwards it to watchers if they need it; returns whether other members need it. A
+     * fact that can't be used is dropped.
      */
     record(fact: EndpointFact, writer = ""): boolean {
         const now = performance.now();
         const reason = findFactFault(fact);
         if (reason !== undefined) {
             this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
+            return false;
         }
         if (fact.kind === "heartbeat") {
             this.recordEndpoint(fact.id, now);
--- a/packages/gateway/src/endpointTracker.steps.ts
+++ b/packages/gateway/src/endpointTracker.steps.ts
@@ -1,10 +1,10 @@
-import { Then } from "@cucumber/cucumber";
+import { Given, Then } from "@cucumber/cucumber";
 import { EndpointRegistry, type EndpointView } from "@kumquathall/endpoint-registry";
 import { listEngineGroups } from "@kumquathall/engine-groups";
 import { createLogger } from "@kumquathall/logger";
 import { type EndpointFact, EngineGroupState, type EngineStatus } from "@kumquathall/types";
 import fc from "fast-check";
-import { deepStrictEqual } from "node:assert";
+import { deepStrictEqual, match } from "node:assert";
 import { EndpointTracker } from "./endpointTracker.js";
 
 const SEED = 7;
@@ -137,3 +137,75 @@
         fc.assert(property, { seed: SEED, numRuns: sequences });
     },
 );
+
+const soundFact = {
+    kind: "heartbeat",
+    id: "sound",
+    service: "plain",
+    address: "10.0.0.1:8080",
+    dataCentre: "d",
+    slots: 4,
+    isLeaving: false,
+    bornMs: 1,
+    sequence: 1,
+    engine: undefined,
+};
+const soundEngine = {
+    orderSequence: 1,
+    isBusy: false,
+    running: 0,
+    waiting: 0,
+    kvUsedTokens: 0,
+    kvTotalTokens: 0,
+    pace: 1,
+    models: ["m"],
+    staged: [],
+    fabricDomain: "f",
+    group: { name: "r-1-m", epoch: 1, rank: 0, state: EngineGroupState.Open },
+};
+const oddFact = { ...soundFact, id: "odd", address: "10.0.0.2:8080" };
+
+const FAULTY_FACTS: Record<string, unknown> = {
+    "that is null": null,
+    "of an unknown kind": { ...oddFact, kind: "other" },
+    "with a port out of range": { ...oddFact, address: "10.0.0.2:70000" },
+    "with an unreadable address": { ...oddFact, address: "10.0.\ufffd.2:8080" },
+    "without an address": { ...oddFact, address: undefined },
+    "with an id that no header holds": { ...oddFact, id: "o\ndd" },
+    "with a sequence that is not a number": { ...oddFact, sequence: Number.NaN },
+    "with a born time past all dates": { ...oddFact, bornMs: 2 ** 53 },
+    "with an engine that is a list": { ...oddFact, engine: [] },
+    "with a pace of infinity": { ...oddFact, engine: { ...soundEngine, pace: Number.POSITIVE_INFINITY } },
+    "with models nested in lists": { ...oddFact, engine: { ...soundEngine, models: [[["m"]]] } },
+    "with a group of an unknown state": {
+        ...oddFact,
+        engine: { ...soundEngine, group: { ...soundEngine.group, state: "other" } },
+    },
+    "with a fractional rank": { ...oddFact, engine: { ...soundEngine, group: { ...soundEngine.group, rank: 0.5 } } },
+    "with half of a character in its zone": { ...oddFact, dataCentre: "\ud800" },
+};
+
+let sentTracker: EndpointTracker;
+let loggedLines: string[] = [];
+
+Given("a gateway that is sent the fact of a sound endpoint and one {string}", (fault: string) => {
+    loggedLines = [];
+    sentTracker = new EndpointTracker({
+        getService: () => undefined,
+        logger: createLogger({ write: line => loggedLines.push(line) }),
+    });
+    sentTracker.record([FAULTY_FACTS[fault], soundFact] as EndpointFact[], performance.now(), "member-1");
+});
+
+Then("it chooses the sound endpoint and no other", () => {
+    const chosen = [
+        ...sentTracker.listPlainEndpoints("plain", performance.now()),
+        ...sentTracker.listGroupHeads("plain", "m"),
+    ];
+    deepStrictEqual(chosen.map(endpoint => endpoint.view.address), [soundFact.address]);
+    sentTracker.close();
+});
+
+Then("it logs the refused fact with its writer and the reason {string}", (reason: string) => {
+    match(loggedLines.join("\n"), new RegExp(`event=input-refused .*reason=.*${reason}.*writer=member-1`));
+});
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -1,6 +1,7 @@
 import { EndpointRegistry, type EndpointView, FactEffect, findFactFault } from "@kumquathall/endpoint-registry";
 import { formatGroupKey, listEngineGroups } from "@kumquathall/engine-groups";
 import type { GroupLoad } from "@kumquathall/engine-model";
+import { describeError } from "@kumquathall/errors";
 import { InputFaultLog, type Logger } from "@kumquathall/logger";
 import {
     AttemptStage,
@@ -134,7 +135,7 @@
         this.faults = options.faults ?? new InputFaultLog(options);
     }
 
-    /** Records facts that `writer` has sent. */
+    /** Records facts that `writer` has sent; those that can't be used are dropped. */
     record(facts: EndpointFact[], now: number, writer = ""): void {
         let isStateChanged = false;
         const addresses = new Set<string>();
@@ -142,6 +143,7 @@
             const reason = findFactFault(fact);
             if (reason !== undefined) {
                 this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
+                continue;
             }
             const effect = this.registry.record(fact, now);
             isStateChanged ||= effect === FactEffect.State;
@@ -185,14 +187,16 @@
 
     /** Lists the heads of the complete, open groups of a service that serve a model. */
     listGroupHeads(service: string, model: string): TrackedEndpoint[] {
-        return (this.headsByModel.get(`${service}/${model}`) ?? []).map(view => this.getOrCreateEndpoint(view));
+        return (this.headsByModel.get(`${service}/${model}`) ?? []).flatMap(view =>
+            this.getOrCreateEndpoint(view) ?? []
+        );
     }
 
     /** Lists the endpoints of a plain service (one without an engine profile) that accept requests. */
     listPlainEndpoints(service: string, now: number): TrackedEndpoint[] {
         return [...this.views.values()]
             .filter(view => view.service === service && !view.isLeaving && !view.isLost)
-            .map(view => this.getOrCreateEndpoint(view))
+            .flatMap(view => this.getOrCreateEndpoint(view) ?? [])
             .filter(endpoint =>
                 now - Math.max(endpoint.view.lastSeenAt, endpoint.lastResponseAt) < HEARTBEAT_TIMEOUT_MS
             );
@@ -368,7 +372,7 @@
     /** Checks an endpoint that no sidecar observes: its process has ended if connections are refused. */
     private async checkProcess(endpoint: TrackedEndpoint): Promise<void> {
         const { isRefusing = isRefusingConnections } = this.options;
-        const hasEnded = !endpoint.hasEnded && await isRefusing(endpoint.view.address);
+        const hasEnded = !endpoint.hasEnded && await isRefusing(endpoint.view.address).catch(() => false);
         this.checks.delete(endpoint);
         if (hasEnded && !endpoint.view.isLeaving) {
             endpoint.hasEnded = true;
@@ -407,14 +411,28 @@
         }
     }
 
-    private getOrCreateEndpoint(view: EndpointView): TrackedEndpoint {
+    /** Returns `undefined` for an endpoint to which no connections can be made: the others hold. */
+    private getOrCreateEndpoint(view: EndpointView): TrackedEndpoint | undefined {
         const key = formatEndpointKey(view);
         const known = this.endpoints.get(key);
         if (known !== undefined) {
             return known;
         }
+        try {
+            const endpoint = this.createEndpoint(key, view);
+            this.endpoints.set(key, endpoint);
+            return endpoint;
+        }
+        catch (error) {
+            const message = describeError(error);
+            this.faults.record({ kind: "endpoint", reason: "no connections can be made", writer: key, message });
+            return undefined;
+        }
+    }
+
+    private createEndpoint(key: string, view: EndpointView): TrackedEndpoint {
         const maxConnections = this.options.getService(view.service)?.maxConnections ?? MIN_CONNECTIONS;
-        const endpoint: TrackedEndpoint = {
+        return {
             key,
             view,
             pool: new EndpointPool(
@@ -431,8 +449,6 @@
             avoidUntil: 0,
             reportedLoad: undefined,
         };
-        this.endpoints.set(key, endpoint);
-        return endpoint;
     }
 }
 
