--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -46,7 +46,11 @@
 
     constructor(private readonly options: ForwardingHarnessOptions) {
         const logger = createLogger({ write: line => this.lines.push(line) });
-        const metrics = registerGatewayMetrics(new Registry(), { countLimited: () => 0, countPaused: () => 0 });
+        const metrics = registerGatewayMetrics(new Registry(), {
+            countLimited: () => 0,
+            countPaused: () => 0,
+            countHeldBytes: () => this.forwarder.countHeldBytes(),
+        });
         const table = buildTable(options.route);
         this.tracker = new EndpointTracker({ getService: name => table.getService(name), logger });
         this.endpoints = Array.from(
