Keep a stream at an endpoint that is reported as lost until another one continues it

What callers saw: streams that were closed in the middle when control reported that their endpoint or its group was lost, and the retry budget was empty.

Cause: the same as for silent endpoints. handleEndpointLost aborted the attempt on a report, before it was known whether anything could continue the stream. Reports can be wrong or early: a sidecar that stood still, a group whose head still sends.

A response that has begun now stays until a replacement is in hand, its connection breaks or its deadline passes. Requests without a first byte are answered as before (a retry, or 502 at once): that is a whole answer.

--- a/packages/gateway/src/endpointSilence.feature
+++ b/packages/gateway/src/endpointSilence.feature
@@ -14,7 +14,7 @@
         Given a gateway with 2 endpoints, 1 retry, 2 more a second from 5000 ms on, and resumable streams
         And 2 callers that have received events 1 to 3
         When the endpoints send nothing for 5900 ms
-        Then both streams have gone on at the other endpoint
+        Then 2 streams have gone on at the other endpoint
 
     # Guards against requests that fail with 502 for a pause of their endpoint, since nothing else can take them.
     Scenario: A repeatable request whose endpoint is slow is answered when no other endpoint can take it
@@ -23,3 +23,18 @@
         When the endpoints send nothing for 1600 ms
         And they answer with status 200
         Then each caller has an answer with status 200
+
+    # Guards against streams that are closed on a report of a loss, which may be wrong, although their endpoint goes on.
+    Scenario: Streams go on at endpoints that are reported as lost when no other endpoint can take them
+        Given a gateway with 2 endpoints, 1 retry and resumable streams
+        And 6 callers that have received events 1 to 3
+        When the endpoints are reported as lost
+        And they complete their streams with event 6
+        Then each caller has received events 1 to 6 and the end of its stream
+
+    # Guards against streams that wait for a lost endpoint to their deadline although another one can continue them.
+    Scenario: A stream at an endpoint that is reported as lost goes on at another one
+        Given a gateway with 2 endpoints, 1 retry and resumable streams
+        And 1 callers that have received events 1 to 3
+        When its endpoint is reported as lost
+        Then 1 streams have gone on at the other endpoint
--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -4,7 +4,15 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
 import type { CallerSocket } from "./testing/callerSocket.js";
 import { ForwardingHarness } from "./testing/forwardingHarness.js";
-import { endResponse, formatEvent, type ScriptedAttempt, sendAnswer, sendEvents } from "./testing/scriptedEndpoint.js";
+import {
+    buildLossReport,
+    endResponse,
+    formatEvent,
+    type ScriptedAttempt,
+    type ScriptedEndpoint,
+    sendAnswer,
+    sendEvents,
+} from "./testing/scriptedEndpoint.js";
 
 const EVENTS = 6;
 const ROUTES: Record<string, Partial<TrafficRoute>> = {
@@ -52,6 +60,10 @@
     },
 );
 
+function reportLoss(endpoint: ScriptedEndpoint): void {
+    getHarness().tracker.record([buildLossReport(endpoint.id)], performance.now());
+}
+
 async function sendRequests(count: number): Promise<void> {
     callers = Array.from({ length: count }, () => getHarness().openConnection());
     for (const caller of callers) {
@@ -88,8 +100,15 @@
     deepStrictEqual(received, callers.map(() => whole));
 });
 
-Then("both streams have gone on at the other endpoint", () => {
-    deepStrictEqual(listOpenAttempts().map(attempt => attempt.request.headers["last-event-id"]), ["3", "3"]);
+When("the endpoints are reported as lost", () => getHarness().endpoints.forEach(endpoint => reportLoss(endpoint)));
+
+When("its endpoint is reported as lost", () => {
+    getHarness().endpoints.filter(endpoint => endpoint.listOpenAttempts().length > 0).forEach(reportLoss);
+});
+
+Then("{int} streams have gone on at the other endpoint", (count: number) => {
+    const resumed = listOpenAttempts().map(attempt => attempt.request.headers["last-event-id"]);
+    deepStrictEqual(resumed, Array.from({ length: count }, () => "3"));
 });
 
 Then("each caller has an answer with status {int}", (status: number) => {
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -185,6 +185,7 @@
             answer: new HeldAnswer(this.options.answerBytes),
             handle: { abort: () => undefined, isWritten: () => false },
             lastDataAt: performance.now(),
+            loss: undefined,
         };
         this.attempt = attempt;
         this.restartStallTimer(attempt, this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
@@ -222,7 +223,7 @@
         if (this.attempt !== attempt) {
             return;
         }
-        const next = this.takeReplacement();
+        const next = this.takeReplacement(attempt);
         if (next === undefined) {
             this.restartStallTimer(attempt, REPLACEMENT_CHECK_MS);
             return;
@@ -230,18 +231,19 @@
         attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
         attempt.handle.abort();
         this.release(attempt);
-        this.recordIncompleteResponse(attempt, "the endpoint has stalled", false, cause);
+        this.recordIncompleteResponse(attempt, attempt.loss?.reason ?? "the endpoint has stalled", cause);
         this.sendTo(next);
     }
 
     /** Chooses an endpoint in place of the one that runs the request now, and takes a retry for it. */
-    private takeReplacement(): TrackedEndpoint | undefined {
-        if (!this.retries.canReplaceEndpoint() || this.subjects.findQuarantine() !== undefined) {
+    private takeReplacement(attempt: RunningAttempt): TrackedEndpoint | undefined {
+        const isEndpointLost = attempt.loss?.isEndpointLost === true;
+        if (!this.retries.canReplaceEndpoint(isEndpointLost) || this.subjects.findQuarantine() !== undefined) {
             return undefined;
         }
         const current = this.choice;
         const { endpoint } = this.chooseEndpoint();
-        if (endpoint !== undefined && this.retries.takeReplacement()) {
+        if (endpoint !== undefined && this.retries.takeReplacement(isEndpointLost)) {
             return endpoint;
         }
         this.choice = current;
@@ -323,12 +325,12 @@
         }
         if (this.isStream(attempt)) {
             if (attempt.parser.getIncompleteBytes().length > 0) {
-                this.handleIncompleteResponse(attempt, "the stream ends inside an event", false);
+                this.handleIncompleteResponse(attempt, "the stream ends inside an event");
                 return;
             }
             const hasContent = attempt.sent.firstContentAt !== undefined || this.lastEventId !== undefined;
             if (!hasContent && !hasFraming(attempt.headers)) {
-                this.handleIncompleteResponse(attempt, "the stream ended before its first event", false);
+                this.handleIncompleteResponse(attempt, "the stream ended before its first event");
                 return;
             }
             this.writeHeadOnce(attempt);
@@ -346,11 +348,7 @@
             return;
         }
         if (this.answer.hasBegun()) {
-            this.handleIncompleteResponse(
-                attempt,
-                `the stream could not be continued (status ${attempt.status})`,
-                false,
-            );
+            this.handleIncompleteResponse(attempt, `the stream could not be continued (status ${attempt.status})`);
             return;
         }
         this.deliverResponse(attempt);
@@ -366,17 +364,25 @@
             this.handleRejection(attempt);
             return;
         }
-        this.handleIncompleteResponse(attempt, error.message, false);
+        this.handleIncompleteResponse(attempt, error.message);
     }
 
-    /** Handles the loss of the endpoint or its group: the attempt is aborted, since it cannot complete. */
+    /**
+     * Handles the report that the endpoint or its group is lost. A response that has begun stays until another endpoint can
+     * continue it or it breaks off: only a closed connection could end it, and the report may be wrong.
+     */
     private handleEndpointLost(attempt: RunningAttempt, reason: string, isEndpointLost: boolean): void {
         if (this.attempt !== attempt) {
             return;
         }
+        attempt.loss = { reason, isEndpointLost };
+        if (this.answer.hasBegun()) {
+            this.handleStall(attempt, IncompleteCause.EndpointLost);
+            return;
+        }
         attempt.handle.abort();
         this.release(attempt);
-        this.handleIncompleteResponse(attempt, reason, isEndpointLost, IncompleteCause.EndpointLost);
+        this.handleIncompleteResponse(attempt, reason, IncompleteCause.EndpointLost);
     }
 
     /** Sends a request elsewhere of which the endpoint has received nothing and will receive nothing. */
@@ -400,7 +406,7 @@
     private abandon(attempt: RunningAttempt, reason: string): void {
         attempt.handle.abort();
         this.release(attempt);
-        this.handleIncompleteResponse(attempt, reason, false);
+        this.handleIncompleteResponse(attempt, reason);
     }
 
     /** Handles a rejection: the endpoint guarantees that it has not run the request. */
@@ -418,10 +424,9 @@
     private handleIncompleteResponse(
         attempt: RunningAttempt,
         reason: string,
-        isEndpointLost: boolean,
         cause: IncompleteCauseValue = IncompleteCause.EndpointBroke,
     ): void {
-        this.recordIncompleteResponse(attempt, reason, isEndpointLost, cause);
+        this.recordIncompleteResponse(attempt, reason, cause);
         if (this.retries.takeRetry()) {
             this.sendNext();
             return;
@@ -429,12 +434,8 @@
         this.finishWithoutResponse(RefusalCause.EndpointFailed);
     }
 
-    private recordIncompleteResponse(
-        attempt: RunningAttempt,
-        reason: string,
-        isEndpointLost: boolean,
-        cause: IncompleteCauseValue,
-    ): void {
+    private recordIncompleteResponse(attempt: RunningAttempt, reason: string, cause: IncompleteCauseValue): void {
+        const isEndpointLost = attempt.loss?.isEndpointLost === true;
         this.incomplete = cause;
         this.retries.recordRun(isEndpointLost);
         attempt.endpoint.health.record(true, performance.now());
--- a/packages/gateway/src/retryAllowance.ts
+++ b/packages/gateway/src/retryAllowance.ts
@@ -49,13 +49,13 @@
     }
 
     /** Whether another endpoint may run the request in place of the one that runs it now, and a retry is left for it. */
-    canReplaceEndpoint(): boolean {
-        return this.findObstacle(1) === undefined && this.options.budget.hasRetry();
+    canReplaceEndpoint(isEndpointLost: boolean): boolean {
+        return this.findObstacle({ isEndpointLost }) === undefined && this.options.budget.hasRetry();
     }
 
     /** Takes a retry for an endpoint in place of the one that runs the request now; `false` if there is none. */
-    takeReplacement(): boolean {
-        return this.decide(this.findObstacle(1));
+    takeReplacement(isEndpointLost: boolean): boolean {
+        return this.decide(this.findObstacle({ isEndpointLost }));
     }
 
     /** Counts an attempt that may have run. Lost endpoints do not count towards the route's limit. */
@@ -73,7 +73,7 @@
 
     /** Takes a retry after an attempt that may have run; `false` if there is none. */
     takeRetry(): boolean {
-        return this.decide(this.findObstacle(0));
+        return this.decide(this.findObstacle(undefined));
     }
 
     /** Why the latest retry was not granted; `undefined` if none was refused. */
@@ -81,13 +81,15 @@
         return this.refusal;
     }
 
-    /** Finds what forbids a retry beside `running` endpoints that run the request now. */
-    private findObstacle(running: number): NoRetryValue | undefined {
+    /** Finds what forbids a retry, once the endpoint that runs the request now, if there is one, counts as well. */
+    private findObstacle(running: { isEndpointLost: boolean } | undefined): NoRetryValue | undefined {
         const { route, timing } = this.options;
         if (!this.isRepeatable()) {
             return NoRetry.NotRepeatable;
         }
-        if (this.usedEndpoints + running >= route.maxEndpoints || this.lostEndpoints >= MAX_LOST_ENDPOINTS) {
+        const used = this.usedEndpoints + (running?.isEndpointLost === false ? 1 : 0);
+        const lost = this.lostEndpoints + (running?.isEndpointLost === true ? 1 : 0);
+        if (used >= route.maxEndpoints || lost >= MAX_LOST_ENDPOINTS) {
             return NoRetry.Endpoints;
         }
         return timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS ? undefined : NoRetry.Time;
--- a/packages/gateway/src/runningAttempt.ts
+++ b/packages/gateway/src/runningAttempt.ts
@@ -17,6 +17,8 @@
     answer: HeldAnswer;
     /** Monotonic time at which the endpoint last sent something, or the request was sent, in milliseconds. */
     lastDataAt: number;
+    /** Report of a loss that the attempt has outlived so far. */
+    loss: { reason: string; isEndpointLost: boolean } | undefined;
 }
 
 /** Status of an endpoint that another incarnation has replaced. */
--- a/packages/gateway/src/testing/scriptedEndpoint.ts
+++ b/packages/gateway/src/testing/scriptedEndpoint.ts
@@ -92,6 +92,19 @@
     return `id: ${id}\ndata: event ${id}\n\n`;
 }
 
+/** Builds the report of a sidecar that the endpoint's process no longer answers. */
+export function buildLossReport(id: string): EndpointFact {
+    return {
+        kind: "observation",
+        address: `${id}.example:1`,
+        observerStartedMs: 1,
+        number: 1,
+        isReachable: false,
+        bornMs: 1,
+        engine: undefined,
+    };
+}
+
 function buildHeartbeat(service: string, id: string): EndpointFact {
     return {
         kind: "heartbeat",
