Simulate operators on control VMs whose disks, links and power fail

What it is for: accepted configurations that may have been lost; no test brought the real consensus, log, membership, publisher and identity together with lost disks and losses of power.

Five VMs, founded from three seeds, run the product's ConsensusRuntime, LogStore, ControlStateMachine, MembershipTask, LeaderCaller and TrafficPublisher in virtual time. The disk keeps, loses or tears each unsynced write and name at a loss of power. Two operators publish; each acknowledged version must be read back as sent, never an older one, and no process may end for another reason than a disk that refuses writes. The final fault strikes at the moment of an acknowledgement.

Lost disks count as lost until 4 s of calm have passed since the VM or its successor is back.

--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -55,6 +55,8 @@
     onRole?: (role: string, term: number) => void;
     /** Applied entries after which a new snapshot is taken. */
     snapshotEvery?: number;
+    /** Returns numbers in [0, 1) that spread the election timeouts; `Math.random` by default. */
+    random?: () => number;
 }
 
 const TICK_MS = 20;
@@ -81,6 +83,7 @@
 export class ConsensusRuntime<Payload, Result> {
     private state: ConsensusState<Payload>;
     private readonly timing: ConsensusOptions;
+    private readonly random: () => number;
     private appliedIndex: number;
     private readonly waiters = new Map<number, Waiter<Result>>();
     private proposals: PendingProposal<Payload, Result>[] = [];
@@ -94,6 +97,7 @@
 
     constructor(private readonly options: ConsensusRuntimeOptions<Payload, Result>) {
         const sizes = new PayloadSizes();
+        this.random = options.random ?? Math.random;
         this.timing = {
             measurePayload: payload => sizes.measure(payload),
             ...options.timing ?? DEFAULT_CONSENSUS_OPTIONS,
@@ -108,7 +112,7 @@
             id: options.id,
             members: recovered.snapshot?.members ?? options.members,
             now: performance.now(),
-            random: Math.random(),
+            random: this.random(),
             hardState: recovered.hardState,
             snapshotIndex: recovered.snapshot?.index,
             snapshotTerm: recovered.snapshot?.term,
@@ -116,7 +120,7 @@
             timing: this.timing,
         });
         this.timer = setInterval(
-            () => this.handle({ kind: "tick", now: performance.now(), random: Math.random() }),
+            () => this.handle({ kind: "tick", now: performance.now(), random: this.random() }),
             TICK_MS,
         );
     }
@@ -148,7 +152,7 @@
 
     /** Handles a message from another member. */
     receive(from: string, message: ConsensusMessage<Payload>): void {
-        this.handle({ kind: "receive", now: performance.now(), random: Math.random(), from, message });
+        this.handle({ kind: "receive", now: performance.now(), random: this.random(), from, message });
     }
 
     /** Proposes a command; resolves with its result once committed and applied. Rejects with {@link ConsensusError}. */
--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -223,16 +223,17 @@
         const { founding } = this.settings;
         const { logger } = this.context;
         if (founding !== undefined) {
-            this.directory = new ControlDirectory({
+            const directory = new ControlDirectory({
                 identity: this.identity,
                 seeds: founding.seeds.filter(seed => seed !== this.settings.listen),
                 handlers: { onOpen: link => this.addMemberLink(link) },
                 logger,
             });
+            this.directory = directory;
             this.membershipTask = new MembershipTask({
                 id: this.id,
                 runtime: this.runtime,
-                directory: this.directory,
+                listLinks: () => directory.listLinks(),
                 targetMembers: founding.targetMembers,
                 logger,
                 onMembersChange: members => this.updateDialers(members),
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,9 +5,13 @@
 export { ControlStateMachine } from "./controlStateMachine.js";
 export { Distributor } from "./distributor.js";
 export { EndpointTask, type EndpointTaskOptions } from "./endpointTask.js";
+export { LeaderCaller, type LeaderCallerOptions } from "./leaderCaller.js";
 export { LimitTask, type LimitTaskOptions } from "./limitTask.js";
+export { type MemberIdentity, readFoundingIdentity } from "./memberIdentity.js";
+export { MembershipTask, type MembershipTaskOptions } from "./membershipTask.js";
 export { type MemberChange, type MembershipInput, planMembership } from "./planMembership.js";
 export { decidePresence, type EntryReport, type PresenceInput, type PresenceOptions } from "./presence.js";
+export { PublishRecorder, type PublishRecorderOptions } from "./publishRecorder.js";
 export { ShareTable } from "./shareTable.js";
 export {
     ConcurrentPublishError,
--- a/packages/control/src/leaderCaller.ts
+++ b/packages/control/src/leaderCaller.ts
@@ -10,9 +10,9 @@
     logger: Logger;
     /** Answers a call on this member, while it leads. */
     answerLocally: (call: ControlCall) => Promise<ControlAnswer>;
-    getLeaderLink: (leaderId: string) => Link | undefined;
+    getLeaderLink: (leaderId: string) => Pick<Link, "call"> | undefined;
     /** Links to all known members, which are tried in turn when the leader is unknown. */
-    listLinks: () => Link[];
+    listLinks: () => Pick<Link, "call">[];
 }
 
 /** Default timeout of a call with all its attempts, in milliseconds: below the time that callers wait for an answer. */
--- a/packages/control/src/membershipTask.ts
+++ b/packages/control/src/membershipTask.ts
@@ -1,6 +1,6 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
-import type { ControlDirectory } from "@kumquathall/control-directory";
 import { describeError } from "@kumquathall/errors";
+import type { Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
 import type { Command, CommandResult } from "@kumquathall/types";
 import { planMembership } from "./planMembership.js";
@@ -8,7 +8,8 @@
 export interface MembershipTaskOptions {
     id: string;
     runtime: ConsensusRuntime<Command, CommandResult>;
-    directory: ControlDirectory;
+    /** Links to all known members, over which this process asks to join. */
+    listLinks: () => Pick<Link, "call" | "peer">[];
     targetMembers: number;
     logger: Logger;
     /** Called when the members change. */
@@ -72,7 +73,7 @@
     private askToJoin(now: number): void {
         if (now - this.lastAskedAt >= JOIN_INTERVAL_MS) {
             this.lastAskedAt = now;
-            for (const link of this.options.directory.listLinks()) {
+            for (const link of this.options.listLinks()) {
                 link.call({ kind: "join", member: this.options.id }).catch(error =>
                     this.options.logger.warn("join-call-failed", { peer: link.peer?.id, message: describeError(error) })
                 );
--- a/packages/matrix/src/configurationPublish.steps.ts
+++ b/packages/matrix/src/configurationPublish.steps.ts
@@ -7,9 +7,11 @@
 import { deepStrictEqual, match, ok, strictEqual } from "node:assert";
 import { ControlGroup } from "./controlGroup.js";
 import { buildSimulatedTraffic, createSimulatedIdentity } from "./deliverySimulation.js";
+import { createRandom } from "./random.js";
 import { createSimulatedVm, openSimulatedConnection } from "./simulatedNetwork.js";
 import { FAKED_TIMERS } from "./virtualTime.js";
 
+const SEED = 1;
 const TIMEOUT = { timeout: 120_000 };
 const ELECTION_MS = 5000;
 const CATCH_UP_MS = 8000;
@@ -54,7 +56,7 @@
 Given("a control group of 3 members, one of which is cut off", TIMEOUT, async () => {
     startClock();
     oversized = [];
-    group = new ControlGroup(undefined);
+    group = new ControlGroup({ random: createRandom(SEED) });
     group.onSend = (from, to, message) => {
         try {
             encodeFrame({ t: "cast", m: { kind: "consensus", from, message } });
@@ -135,7 +137,7 @@
     startClock();
     traffic = buildSimulatedTraffic(40);
     outcomes = [];
-    group = new ControlGroup(undefined);
+    group = new ControlGroup({ random: createRandom(SEED) });
     await group.start();
     const published = publishAt(await findLeader(), traffic);
     await clock?.tickAsync(500);
--- a/packages/matrix/src/controlGroup.ts
+++ b/packages/matrix/src/controlGroup.ts
@@ -21,6 +21,15 @@
 /** Returns the delays in milliseconds after which a message is delivered, once for each; none if it is lost. */
 export type NetworkRule = (from: string, to: string, message: Message) => number[];
 
+export interface ControlGroupOptions {
+    /** Guard of the product to disable, to test that a cell detects the fault. */
+    disabledGuard?: string;
+    /** Returns numbers in [0, 1) that spread the election timeouts. */
+    random: () => number;
+    /** Applied entries after which a member takes a snapshot. */
+    snapshotEvery?: number;
+}
+
 const DELIVER_ONCE: NetworkRule = () => [1];
 const MEMBERS = ["a", "b", "c"];
 
@@ -33,7 +42,7 @@
     /** Invariant violations detected so far. */
     readonly violations: string[] = [];
 
-    constructor(private readonly disabledGuard: string | undefined) {}
+    constructor(private readonly options: ControlGroupOptions) {}
 
     /** Starts all members. */
     async start(): Promise<void> {
@@ -67,7 +76,9 @@
             stateMachine,
             transport: { send: (to, message) => this.send(id, to, message) },
             logger: createLogger({ level: "error", write: () => undefined }),
-            timing: { ...DEFAULT_CONSENSUS_OPTIONS, disabledGuard: this.disabledGuard },
+            timing: { ...DEFAULT_CONSENSUS_OPTIONS, disabledGuard: this.options.disabledGuard },
+            random: this.options.random,
+            snapshotEvery: this.options.snapshotEvery,
             onFatal: () => this.kill(id, 0),
             onApplied: () => this.checkRevision(member),
         });
--- /dev/null
+++ b/packages/matrix/src/durability.steps.ts
@@ -0,0 +1,49 @@
+import { Then, When } from "@cucumber/cucumber";
+import { deepStrictEqual, ok } from "node:assert";
+import { DurabilitySimulation } from "./durabilitySimulation.js";
+
+const TIMEOUT = { timeout: 300_000 };
+/** Least number of acknowledgements with one seed that makes a run meaningful. */
+const MIN_ACKNOWLEDGED = 20;
+
+let violations: string[] = [];
+let acknowledged: number[] = [];
+
+async function runSeeds(
+    vms: number,
+    seconds: number,
+    first: number,
+    last: number,
+    disabledGuard?: string,
+): Promise<void> {
+    violations = [];
+    acknowledged = [];
+    for (let seed = first; seed <= last; seed++) {
+        const result = await DurabilitySimulation.run({ seed, vms, durationMs: seconds * 1000, disabledGuard });
+        violations.push(...result.violations.map(text => `seed ${seed}: ${text}`));
+        acknowledged.push(result.acknowledged);
+    }
+}
+
+When(
+    "operators publish to {int} control VMs for {int} s amid disruptions, with seeds {int} to {int}",
+    TIMEOUT,
+    (vms: number, seconds: number, first: number, last: number) => runSeeds(vms, seconds, first, last),
+);
+
+When(
+    "operators publish to {int} control VMs for {int} s amid disruptions, with seeds {int} to {int}, without {string}",
+    TIMEOUT,
+    (vms: number, seconds: number, first: number, last: number, guard: string) =>
+        runSeeds(vms, seconds, first, last, guard),
+);
+
+Then(
+    "nothing acknowledged is lost or shown in an older state, and no process ends for another reason than its disk",
+    () => {
+        deepStrictEqual(violations, []);
+        ok(acknowledged.every(count => count >= MIN_ACKNOWLEDGED), `acknowledged: ${acknowledged.join()}`);
+    },
+);
+
+Then("something acknowledged is lost or shown in an older state", () => ok(violations.length > 0));
--- /dev/null
+++ b/packages/matrix/src/durabilityFaults.ts
@@ -0,0 +1,190 @@
+import type { ControlNetwork } from "./controlNetwork.js";
+import type { ControlVm } from "./controlVm.js";
+
+/** What disruptions act on. */
+export interface FaultTarget {
+    readonly random: () => number;
+    readonly network: ControlNetwork;
+    pick: <Item>(items: readonly Item[]) => Item | undefined;
+    /** Number of disks that may be lost now without exceeding what is tolerated. */
+    countSpareDisks: () => number;
+    /** Replaces the disk by an empty one; the VM is back after a time. */
+    replaceDisk: (vm: ControlVm, downMs: number) => void;
+    /** Counts a VM as lost until it, or its successor, has been back for the time to catch up. */
+    recordDiskLost: (vm: ControlVm, downMs: number) => void;
+    startLater: (vm: ControlVm, downMs: number) => void;
+    createAddress: () => string;
+}
+
+/** A disruption that can begin now. */
+export interface Disruption {
+    name: string;
+    lastsMs: number;
+    begin: () => void;
+    end?: () => void;
+}
+
+/** Texts of the errors of disks that refuse writes, after which a process may end. */
+export const DISK_FAILURES = ["no space left on device", "input/output error"] as const;
+
+type Builder = (simulation: FaultTarget) => Disruption | undefined;
+
+const DISRUPTIONS: Record<string, Builder> = {
+    "kill one": simulation => buildRestart(simulation, [simulation.pick(listUp(simulation))], vm => vm.kill()),
+    "kill two": simulation => buildRestart(simulation, listUp(simulation).slice(0, 2), vm => vm.kill()),
+    "kill leader": simulation => buildRestart(simulation, [findLeader(simulation)], vm => vm.kill()),
+    "kill all": simulation => buildRestart(simulation, listUp(simulation), vm => vm.kill()),
+    "power one": simulation => buildRestart(simulation, [simulation.pick(listUp(simulation))], vm => vm.crash()),
+    "power all": simulation => buildRestart(simulation, listUp(simulation), vm => vm.crash()),
+    "disk one": simulation => buildDiskLoss(simulation, 1, false),
+    "disk two": simulation => buildDiskLoss(simulation, 2, false),
+    "disks and power": simulation => buildDiskLoss(simulation, 2, true),
+    "replace": buildReplacement,
+    "cut one": simulation => buildCut(simulation, pickAddress(simulation), (vm, from, to) => from === vm || to === vm),
+    "cut leader": simulation =>
+        buildCut(simulation, findLeader(simulation)?.options.address, (vm, from, to) => from === vm || to === vm),
+    "cut sending": simulation => buildCut(simulation, pickAddress(simulation), (vm, from) => from === vm),
+    "cut receiving": simulation => buildCut(simulation, pickAddress(simulation), (vm, _from, to) => to === vm),
+    "split": buildSplit,
+    "slow link": simulation => buildSlowness(simulation, simulation.network.slowness, 150),
+    "slow disk": simulation => buildSlowness(simulation, simulation.network.diskSlowness, 400),
+    "full disk": simulation => buildDiskFailure(simulation, DISK_FAILURES[0]),
+    "failing disk": simulation => buildDiskFailure(simulation, DISK_FAILURES[1]),
+};
+
+/** Chooses a disruption by the simulation's random source; `undefined` if the chosen one is not possible now. */
+export function chooseDisruption(
+    simulation: FaultTarget,
+    kinds: readonly string[] = Object.keys(DISRUPTIONS),
+): Disruption | undefined {
+    const kind = simulation.pick(kinds);
+    const disruption = kind === undefined ? undefined : DISRUPTIONS[kind](simulation);
+    return disruption === undefined ? undefined : { ...disruption, name: `${kind}: ${disruption.name}` };
+}
+
+function listUp(simulation: FaultTarget): ControlVm[] {
+    const vms = simulation.network.listVms().filter(vm => vm.process !== undefined);
+    return [...vms].sort(() => simulation.random() - 0.5);
+}
+
+function pickAddress(simulation: FaultTarget): string | undefined {
+    return simulation.pick(simulation.network.listVms())?.options.address;
+}
+
+function findLeader(simulation: FaultTarget): ControlVm | undefined {
+    return simulation.network.listVms().find(vm => vm.process?.runtime?.canServe() === true);
+}
+
+function formatNames(vms: readonly ControlVm[]): string {
+    return vms.map(vm => vm.options.address).join(" ");
+}
+
+function buildRestart(
+    simulation: FaultTarget,
+    wanted: (ControlVm | undefined)[],
+    end: (vm: ControlVm) => void,
+): Disruption | undefined {
+    const vms = wanted.flatMap(vm => vm ?? []);
+    if (vms.length === 0) {
+        return undefined;
+    }
+    const begin = () => {
+        for (const vm of vms) {
+            end(vm);
+            simulation.startLater(vm, 100 + Math.floor(simulation.random() * 2500));
+        }
+    };
+    return { name: formatNames(vms), lastsMs: 2500, begin };
+}
+
+function buildDiskLoss(simulation: FaultTarget, count: number, losePower: boolean): Disruption | undefined {
+    const vms = listUp(simulation);
+    const lost = vms.slice(0, count);
+    if (simulation.countSpareDisks() < count || lost.length < count) {
+        return undefined;
+    }
+    const begin = () => {
+        if (simulation.countSpareDisks() < count) {
+            return;
+        }
+        const backMs = () => 100 + Math.floor(simulation.random() * 2500);
+        lost.forEach(vm => simulation.replaceDisk(vm, backMs()));
+        if (losePower) {
+            vms.slice(count).forEach(vm => {
+                vm.crash();
+                simulation.startLater(vm, backMs());
+            });
+        }
+    };
+    return { name: formatNames(lost), lastsMs: 3000, begin };
+}
+
+/** Removes a VM for good; one at another address, with an empty disk, takes its place. */
+function buildReplacement(simulation: FaultTarget): Disruption | undefined {
+    const vm = simulation.pick(listUp(simulation));
+    if (vm === undefined || simulation.countSpareDisks() < 1) {
+        return undefined;
+    }
+    const begin = () => {
+        if (simulation.countSpareDisks() < 1) {
+            return;
+        }
+        simulation.network.removeVm(vm);
+        const downMs = Math.floor(simulation.random() * 2000);
+        simulation.recordDiskLost(vm, downMs);
+        simulation.startLater(simulation.network.addVm(simulation.createAddress()), downMs);
+    };
+    return { name: formatNames([vm]), lastsMs: 3000, begin };
+}
+
+function buildCut(
+    simulation: FaultTarget,
+    address: string | undefined,
+    isCut: (address: string, from: string, to: string) => boolean,
+): Disruption | undefined {
+    if (address === undefined) {
+        return undefined;
+    }
+    const { network } = simulation;
+    return {
+        name: address,
+        lastsMs: 300 + Math.floor(simulation.random() * 4000),
+        begin: () => network.isCut = (from, to) => isCut(address, from, to),
+        end: () => network.isCut = () => false,
+    };
+}
+
+function buildSplit(simulation: FaultTarget): Disruption {
+    const { network } = simulation;
+    const side = new Set(network.listVms().map(vm => vm.options.address).filter(() => simulation.random() < 0.5));
+    return {
+        name: [...side].join(" "),
+        lastsMs: 300 + Math.floor(simulation.random() * 5000),
+        begin: () => network.isCut = (from, to) => side.has(from) !== side.has(to),
+        end: () => network.isCut = () => false,
+    };
+}
+
+function buildSlowness(simulation: FaultTarget, slowness: Map<string, number>, ms: number): Disruption {
+    const address = pickAddress(simulation) ?? "";
+    return {
+        name: address,
+        lastsMs: 500 + Math.floor(simulation.random() * 3000),
+        begin: () => slowness.set(address, Math.floor(simulation.random() * ms)),
+        end: () => slowness.delete(address),
+    };
+}
+
+function buildDiskFailure(simulation: FaultTarget, text: string): Disruption | undefined {
+    const vm = simulation.pick(listUp(simulation));
+    if (vm === undefined) {
+        return undefined;
+    }
+    const { disk } = vm;
+    return {
+        name: vm.options.address,
+        lastsMs: 300 + Math.floor(simulation.random() * 2500),
+        begin: () => disk.failure = text,
+        end: () => disk.failure = undefined,
+    };
+}
--- a/packages/matrix/src/publishCells.ts
+++ b/packages/matrix/src/publishCells.ts
@@ -180,7 +180,7 @@
     disabledGuard: string | undefined,
 ): Promise<CellResult> {
     const random = createRandom(seed);
-    const group = new ControlGroup(disabledGuard);
+    const group = new ControlGroup({ disabledGuard, random: createRandom(seed) });
     await group.start();
     await time.advance(SETTLE_MS);
     const first = await publishUntilAnswered(group, buildPublish(1, "change-1"), time);
