Confirm a publish only by an accepted result of the leader

What callers saw: an operator's call may be acknowledged with 200 though nothing was committed.

Cause: TrafficPublisher.publish returned, which the caller is told as 200, for every answer that wasn't the refusal "stale": other refusals, other results and other kinds of answers counted as success. Today the state machine refuses a publish with "stale" only, so no run of real processes can have shown this; any new refusal would have been acknowledged.

Now only the result "accepted" confirms. Everything else rejects with the leader's reason, which the platform answers as unclear (503), counted as not-committed.

The same cause elsewhere: leaderTask and membershipTask log results and confirm nothing to callers.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -17,6 +17,7 @@
     ConcurrentPublishError,
     ConfigurationSizeError,
     type PublishReceipt,
+    PublishRefusedError,
     TrafficPublisher,
     type TrafficPublisherOptions,
 } from "./trafficPublisher.js";
--- a/packages/control/src/publishRecorder.ts
+++ b/packages/control/src/publishRecorder.ts
@@ -3,7 +3,12 @@
 import type { Logger } from "@kumquathall/logger";
 import type { Command, CommandResult } from "@kumquathall/types";
 import { Counter, type Registry } from "prom-client";
-import { ConcurrentPublishError, ConfigurationSizeError, type PublishReceipt } from "./trafficPublisher.js";
+import {
+    ConcurrentPublishError,
+    ConfigurationSizeError,
+    type PublishReceipt,
+    PublishRefusedError,
+} from "./trafficPublisher.js";
 
 export interface PublishRecorderOptions {
     runtime: ConsensusRuntime<Command, CommandResult>;
@@ -35,7 +40,7 @@
             this.publishes.inc({ outcome: "refused", reason: "too-large" });
             return;
         }
-        const reason = error instanceof ConcurrentPublishError ? "concurrent" : "no-leader";
+        const reason = describeReason(error);
         this.publishes.inc({ outcome: "unclear", reason });
         this.options.logger.info("configuration-not-confirmed", { version, reason, message: describeError(error) });
     }
@@ -63,3 +68,10 @@
         });
     }
 }
+
+function describeReason(error: unknown): string {
+    if (error instanceof PublishRefusedError) {
+        return "not-committed";
+    }
+    return error instanceof ConcurrentPublishError ? "concurrent" : "no-leader";
+}
--- a/packages/control/src/trafficPublisher.ts
+++ b/packages/control/src/trafficPublisher.ts
@@ -11,6 +11,9 @@
 /** Other versions were published at the same time, so that no change of the version in force could be committed. */
 export class ConcurrentPublishError extends KumquathallError {}
 
+/** The leader answered without committing the version; the message names its reason. */
+export class PublishRefusedError extends KumquathallError {}
+
 /** Confirms a publish. */
 export interface PublishReceipt {
     /** Log index at which the leader has handled it or, if nothing was proposed, the revision in force here. */
@@ -50,11 +53,12 @@
                 return { revision: this.options.stateMachine.getState().configuration.revision, isRepeated: true };
             }
             const answer = await this.options.callLeader({ kind: "propose", command }, endsAt - performance.now());
-            const isStale = answer.kind === "result" && answer.result.kind === "refused"
-                && answer.result.code === "stale";
-            if (!isStale) {
-                const result = answer.kind === "result" ? answer.result : undefined;
-                return { revision: result?.kind === "accepted" ? result.revision : 0, isRepeated: false };
+            const result = answer.kind === "result" ? answer.result : undefined;
+            if (result?.kind === "accepted") {
+                return { revision: result.revision, isRepeated: false };
+            }
+            if (result?.kind !== "refused" || result.code !== "stale") {
+                throw new PublishRefusedError(`the version was not committed: ${describeRefusal(answer)}`);
             }
             if (performance.now() + STALE_PAUSE_MS >= endsAt) {
                 throw new ConcurrentPublishError("other versions were published at the same time; send the call again");
@@ -90,3 +94,10 @@
         return command;
     }
 }
+
+function describeRefusal(answer: ControlAnswer): string {
+    if (answer.kind !== "result") {
+        return `the leader answered with "${answer.kind}"; send the call again`;
+    }
+    return answer.result.kind === "refused" ? answer.result.message : `its result is "${answer.result.kind}"`;
+}
--- a/packages/matrix/src/configurationPublish.feature
+++ b/packages/matrix/src/configurationPublish.feature
@@ -13,6 +13,12 @@
         When the member publishes version 3
         Then it is confirmed, and the leader has version 3 with its document
 
+    # Guards against an acknowledgement without an effect: every answer of the leader but one counted as success.
+    Scenario: A version that the leader refuses is not confirmed
+        Given a control group of 3 members with version 1
+        When the member publishes version 2 and the leader refuses the change as "invalid-change"
+        Then it is not confirmed, and the error says "the change is unreadable"
+
     Scenario: A configuration that no message can carry is refused before it is proposed
         Given a control group of 3 members with version 1
         When a version with a document of 9000 KB is published
--- a/packages/matrix/src/configurationPublish.steps.ts
+++ b/packages/matrix/src/configurationPublish.steps.ts
@@ -218,6 +218,26 @@
     strictEqual(links[0].isOpen(), false);
 });
 
+When(
+    "the member publishes version {int} and the leader refuses the change as {string}",
+    async (version: number, code: "invalid-change") => {
+        const publisher = new TrafficPublisher({
+            stateMachine: getStateMachine(await findLeader()),
+            callLeader: () =>
+                Promise.resolve({
+                    kind: "result",
+                    result: { kind: "refused", code, message: "the change is unreadable" },
+                }),
+        });
+        outcomes = [publisher.publish({ ...traffic, version }, "").then(() => "confirmed", error => String(error))];
+        await clock?.tickAsync(1000);
+    },
+);
+
+Then("it is not confirmed, and the error says {string}", async (text: string) => {
+    match((await Promise.all(outcomes))[0], new RegExp(text));
+});
+
 /** Publishes as an operator does, who sends a version again that is not confirmed. */
 async function publishUntilConfirmed(): Promise<void> {
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
