Count a request as in flight until its answer has left the process

Cause: the stop counted the requests that were being forwarded: from the end of their body until their answer was handed to the socket.

CallerConnections counts each response from the arrival of its request's head until 'finish' or the close of its connection. The stop waits for all of these, and closes only connections without any.

--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -81,6 +81,18 @@
         socket.destroy();
     }
 
+    /**
+     * Closes the connections without a request or a response that has not left the process. Node's own
+     * `closeIdleConnections` counts a response as ended once it is complete, sent or not.
+     */
+    closeIdle(reason: CloseReasonValue): void {
+        for (const [socket, { unfinished }] of this.connections) {
+            if (unfinished.size === 0) {
+                this.close(socket, reason);
+            }
+        }
+    }
+
     /** Closes all connections at once. */
     closeAll(reason: CloseReasonValue): void {
         [...this.connections.keys()].forEach(socket => this.close(socket, reason));
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -18,6 +18,7 @@
 import { EndpointLimits } from "./endpointLimits.js";
 import { EndpointTracker } from "./endpointTracker.js";
 import { Forwarder } from "./forwarder.js";
+import { GatewayStop } from "./gatewayStop.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
 import { type GatewayMetrics, registerGatewayMetrics } from "./metrics.js";
 import { PermitClient } from "./permitClient.js";
@@ -48,7 +49,6 @@
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
     | { kind: "endpointLimits"; facts: LimitFact[] };
 
-const DRAIN_CHECK_MS = 50;
 const STALE_CHECK_MS = 5000;
 /** Largest header block that is parsed, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -69,7 +69,8 @@
     private readonly connections: CallerConnections;
     private readonly readyServer: Server;
     private readonly staleTimer: NodeJS.Timeout;
-    private stoppingSince: number | undefined;
+    /** The stop under way. */
+    private stop: GatewayStop | undefined;
     private readonly stopPlan: StopPlan;
 
     private constructor(
@@ -118,7 +119,7 @@
             server: this.server,
             logger,
             metrics: this.metrics,
-            isStopping: () => this.stoppingSince !== undefined,
+            isStopping: () => this.stop !== undefined,
         });
         this.staleTimer = setInterval(() => this.removeStale(), STALE_CHECK_MS);
         this.forwarder = new Forwarder({
@@ -130,10 +131,10 @@
             metrics: this.metrics,
             getTable: () => this.reader.getTable(),
             isConfigurationBehind: () => this.reader.isBehind(performance.now()),
-            isStopping: () => this.stoppingSince !== undefined,
+            isStopping: () => this.stop !== undefined,
             canAccept: maxDurationMs =>
-                this.stoppingSince === undefined
-                || canAcceptWhileStopping(this.stopPlan, performance.now() - this.stoppingSince, maxDurationMs),
+                this.stop === undefined
+                || canAcceptWhileStopping(this.stopPlan, this.stop.getElapsedMs(), maxDurationMs),
             onFirstRequest: () => this.announceTraffic(),
             quarantine: this.quarantine,
             crashReporter: this.crashReporter,
@@ -171,30 +172,19 @@
     }
 
     isReady(): boolean {
-        return this.stoppingSince === undefined && this.reader.getTable() !== undefined
+        return this.stop === undefined && this.reader.getTable() !== undefined
             && !this.reader.isBehind(performance.now());
     }
 
     countInFlight(): Record<string, number> {
-        return { requests: this.forwarder.countActive() };
+        return { requests: this.connections.countUnfinished() };
     }
 
     /** Fails the readiness check, serves requests that still arrive, and resolves when all have ended or time is up. */
     async drain(): Promise<void> {
-        const startedAt = performance.now();
-        this.stoppingSince = startedAt;
-        for (;;) {
-            const sinceMs = performance.now() - startedAt;
-            const isOutOfRotation = sinceMs > this.stopPlan.acceptAllUntilMs;
-            if (sinceMs >= this.stopPlan.endMs || (isOutOfRotation && this.forwarder.countActive() === 0)) {
-                return;
-            }
-            if (isOutOfRotation) {
-                // A caller with an idle connection detects the stop only when the connection closes.
-                this.server.closeIdleConnections();
-            }
-            await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
-        }
+        const { stopPlan: plan, connections, forwarder } = this;
+        this.stop = new GatewayStop({ plan, connections, forwarder });
+        await this.stop.complete();
     }
 
     close(): Promise<void> {
@@ -207,6 +197,7 @@
         this.server.close();
         this.readyServer.close();
         this.readyServer.closeAllConnections();
+        this.readyServer.closeAllConnections();
         return Promise.resolve();
     }
 
--- /dev/null
+++ b/packages/gateway/src/gatewayStop.feature
@@ -0,0 +1,30 @@
+@gateway-stop
+Feature: A stop of a gateway loses no request that it has read
+
+    # Guards against answers that are cut off for slow readers because they count as ended once they are handed to the socket.
+    Scenario: An answer that its caller has not read yet is not cut off
+        Given a gateway that serves repeatable requests and stops within 8000 ms
+        And a caller that reads nothing has sent a request
+        And the endpoint answers it with 8000000 bytes
+        When the stop begins, and 3000 ms pass
+        And the caller reads on
+        Then the caller has an answer with status 200 and 8000000 bytes
+
+    # Guards against the same for connections that Node counts as idle since their response has ended.
+    Scenario: A connection with an answer that its caller has not read yet does not count as idle
+        Given a gateway that serves repeatable requests and stops within 8000 ms
+        And another caller has sent a request
+        And a caller that reads nothing has sent a request
+        And the endpoint answers it with 8000000 bytes
+        When the stop begins, and 4000 ms pass
+        And the caller reads on
+        Then the caller has an answer with status 200 and 8000000 bytes
+
+    # Guards against requests that are lost because only those with a complete body count as in flight.
+    Scenario: A request whose body still arrives is served
+        Given a gateway that serves repeatable requests and stops within 8000 ms
+        And a caller that has sent half of a request
+        When the stop begins, and 3000 ms pass
+        And the caller sends the other half
+        And the endpoint answers it with 10 bytes
+        Then the caller has an answer with status 200 and 10 bytes
--- a/packages/gateway/src/testing/callerSocket.ts
+++ b/packages/gateway/src/testing/callerSocket.ts
@@ -28,7 +28,8 @@
 
     startReading(): void {
         this.isReading = true;
-        for (const { text, confirm } of this.unread.splice(0)) {
+        // Closing the connection has discarded what was not read.
+        for (const { text, confirm } of this.destroyed ? [] : this.unread.splice(0)) {
             this.received += text;
             confirm();
         }
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -2,14 +2,16 @@
 import { RequestKind, type TrafficRoute } from "@kumquathall/types";
 import { createServer, type Server } from "node:http";
 import { Registry } from "prom-client";
-import { CallerConnections } from "../callerConnections.js";
+import { CallerConnections, CloseReason } from "../callerConnections.js";
 import { CrashReporter } from "../crashReporter.js";
 import { EndpointLimits } from "../endpointLimits.js";
 import { EndpointTracker } from "../endpointTracker.js";
 import { Forwarder } from "../forwarder.js";
+import { GatewayStop } from "../gatewayStop.js";
 import { registerGatewayMetrics } from "../metrics.js";
 import { QuarantineList } from "../quarantineList.js";
 import { RouteTable } from "../routeTable.js";
+import { planStop } from "../stopPlan.js";
 import { CallerSocket } from "./callerSocket.js";
 import { PlainHeaderCodec } from "./plainHeaderCodec.js";
 import { ScriptedEndpoint } from "./scriptedEndpoint.js";
@@ -57,6 +59,8 @@
             this.connections.addRequest(request, response);
             this.forwarder.forward(request, response);
         });
+        // From then on, Node lists the connections of a server.
+        this.server.emit("listening");
         this.connections = new CallerConnections({
             server: this.server,
             logger,
@@ -89,6 +93,15 @@
         });
     }
 
+    /** Begins to stop as on a signal, within `stopWithinMs`, and closes what is left. */
+    async stop(stopWithinMs: number): Promise<void> {
+        this.isStopping = true;
+        const { connections, forwarder } = this;
+        await new GatewayStop({ plan: planStop(stopWithinMs), connections, forwarder }).complete();
+        this.connections.closeAll(CloseReason.StopEnded);
+        this.server.close();
+    }
+
     /** Opens a caller's connection. */
     openConnection(): CallerSocket {
         const caller = new CallerSocket();
@@ -98,9 +111,10 @@
     }
 
     /** Sends a request and waits until the gateway has it. */
-    async sendRequest(caller: CallerSocket, headers: Record<string, string> = {}): Promise<void> {
+    async sendRequest(caller: CallerSocket, headers: Record<string, string> = {}, body = ""): Promise<void> {
         const lines = Object.entries({ host: HOST, "request-id": `r-${++this.requests}`, ...headers });
-        caller.send(["GET /a/ HTTP/1.1", ...lines.map(([name, value]) => `${name}: ${value}`), "", ""].join("\r\n"));
+        const head = ["POST /a/ HTTP/1.1", ...lines.map(([name, value]) => `${name}: ${value}`), "", ""];
+        caller.send(head.join("\r\n") + body);
         await this.settle();
     }
 
@@ -119,6 +133,7 @@
 
     close(): void {
         this.callers.forEach(caller => caller.destroy());
+        this.server.close();
         this.tracker.close();
     }
 }
