Answer the requests that a stop leaves no time for

What callers saw: at the end of a gateway's stop, connections that closed without an answer: requests that had been passed on and whose response had not begun, and requests whose body was still arriving.

Cause: at endMs the stop returned, and closing the connections was all that happened to them.

At endMs every request now gets its final answer: 502 stop-ended if an endpoint may have run it, 503 stopping if none can have. The stop then waits for these answers, and for those that slow callers still read, until closeMs (15/16 of the stop time). A response that has begun is cut off at endMs as before.

--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -89,6 +89,19 @@
         this.sendNext();
     }
 
+    /** Gives the request its final answer, since the process ends. A response that has begun can only be cut off. */
+    endForStop(): void {
+        if (this.isFinished) {
+            return;
+        }
+        if (this.attempt !== undefined) {
+            this.retries.mayHaveRun ||= this.attempt.handle.isWritten();
+            this.abortUnfinished(this.attempt);
+        }
+        this.incomplete = IncompleteCause.StopEnded;
+        this.finishWithoutResponse(this.retries.mayHaveRun ? RefusalCause.StopEnded : RefusalCause.Stopping);
+    }
+
     /** Sends to the best endpoint or refuses at once. A started stream waits for a group that can continue it. */
     private sendNext(): void {
         this.choiceTimer = undefined;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -52,6 +52,8 @@
 /** Accepts callers' requests: finds the route and the account, reads the body and starts forwarding. */
 export class Forwarder {
     private readonly active = new Set<ForwardedRequest>();
+    /** Refusals of requests whose body still arrives. */
+    private readonly readingBody = new Set<() => void>();
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBiasEstimator();
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
@@ -68,6 +70,12 @@
         return this.active.size;
     }
 
+    /** Gives every request in flight its final answer, since the process ends. */
+    endAll(): void {
+        [...this.readingBody].forEach(refuseUnread => refuseUnread());
+        [...this.active].forEach(forwarded => forwarded.endForStop());
+    }
+
     forward(request: IncomingMessage, response: ServerResponse): void {
         const { codec, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
@@ -131,7 +139,17 @@
         }
         const configurationVersion = table.getVersion();
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
+        const refuseUnread = () => {
+            this.readingBody.delete(refuseUnread);
+            response.setHeader("connection", "close");
+            refuseRequest(RefusalCause.Stopping, route.name);
+        };
+        this.readingBody.add(refuseUnread);
+        response.on("close", () => this.readingBody.delete(refuseUnread));
         readBody(request, { maxBytes, timeoutMs }, outcome => {
+            if (!this.readingBody.delete(refuseUnread)) {
+                return;
+            }
             if (outcome.kind === "tooLarge") {
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
                 closeUnlessComplete(request, maxBytes, this.options.connections);
--- a/packages/gateway/src/gatewayStop.feature
+++ b/packages/gateway/src/gatewayStop.feature
@@ -28,3 +28,16 @@
         And the caller sends the other half
         And the endpoint answers it with 10 bytes
         Then the caller has an answer with status 200 and 10 bytes
+
+    # Guards against connections that close without an answer when the time for the stop is over.
+    Scenario Outline: A request that can't be completed in time gets a final answer that is true
+        Given a gateway that serves <kind> and stops within 8000 ms
+        And a caller that has sent <part> of a request
+        When the stop begins, and 7900 ms pass
+        Then the caller has an answer with status <status>
+
+        Examples:
+            | kind                    | part | status |
+            | repeatable requests     | all  | 502    |
+            | non-repeatable requests | all  | 502    |
+            | repeatable requests     | half | 503    |
--- a/packages/gateway/src/gatewayStop.ts
+++ b/packages/gateway/src/gatewayStop.ts
@@ -22,13 +22,17 @@
 
     /** Resolves when every response has left the process, or when the plan has no time left. */
     async complete(): Promise<void> {
-        const { plan, connections } = this.options;
+        const { plan, connections, forwarder } = this.options;
         for (;;) {
             const sinceMs = this.getElapsedMs();
             const isOutOfRotation = sinceMs > plan.acceptAllUntilMs;
-            if (sinceMs >= plan.endMs || (isOutOfRotation && connections.countUnfinished() === 0)) {
+            const isComplete = isOutOfRotation && connections.countUnfinished() === 0;
+            if (isComplete || sinceMs >= plan.closeMs) {
                 return;
             }
+            if (sinceMs >= plan.endMs) {
+                forwarder.endAll();
+            }
             if (isOutOfRotation) {
                 // A caller with an idle connection detects the stop only when the connection closes.
                 connections.closeIdle(CloseReason.Stopping);
--- a/packages/gateway/src/incompleteCause.ts
+++ b/packages/gateway/src/incompleteCause.ts
@@ -16,5 +16,7 @@
     EndpointLost: "endpoint-lost",
     /** The caller's deadline or the route's timeout passed. */
     Deadline: "deadline",
+    /** The gateway stopped and had no time left. */
+    StopEnded: "stop-ended",
 } as const;
 export type IncompleteCauseValue = (typeof IncompleteCause)[keyof typeof IncompleteCause];
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -23,6 +23,8 @@
     NoEndpoint: { name: "no-endpoint", status: 503, retryAfterMs: 1000 },
     /** What the request is, or what it carries, has ended the endpoints that ran it. */
     Quarantined: { name: "fenced", status: 503 },
+    /** The gateway has no time left for a request that may have run. */
+    StopEnded: { name: "stop-ended", status: 502 },
     Stopping: { name: "stopping", status: 503, retryAfterMs: 50 },
     NoRoom: { name: "no-room", status: 503, retryAfterMs: 1000 },
     /** The endpoints limit their requests, and no permit comes in time. */
--- a/packages/gateway/src/stopPlan.ts
+++ b/packages/gateway/src/stopPlan.ts
@@ -2,19 +2,27 @@
 export interface StopPlan {
     /** All requests are accepted until then, because the load balancer still sends new connections. */
     acceptAllUntilMs: number;
-    /** Requests still in flight are aborted then. */
+    /** Requests still in flight get their final answer then. */
     endMs: number;
+    /** Answers that have not left the process by then are lost. */
+    closeMs: number;
 }
 
 /** Time until the load balancer stops sending, in milliseconds: it checks once a second and needs two failures. */
 const OUT_OF_ROTATION_MS = 2500;
-/** Fraction of the stop time that is reserved for closing. */
+/** Fraction of the stop time that is reserved for final answers and for closing. */
 const CLOSING_FRACTION = 1 / 6;
+/** Fraction of the stop time in which the process ends. */
+const ENDING_FRACTION = 1 / 16;
 
 /** Plans a stop that must be complete within `stopWithinMs`. */
 export function planStop(stopWithinMs: number): StopPlan {
     const endMs = stopWithinMs * (1 - CLOSING_FRACTION);
-    return { acceptAllUntilMs: Math.min(OUT_OF_ROTATION_MS, endMs), endMs };
+    return {
+        acceptAllUntilMs: Math.min(OUT_OF_ROTATION_MS, endMs),
+        endMs,
+        closeMs: stopWithinMs * (1 - ENDING_FRACTION),
+    };
 }
 
 /**
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -78,6 +78,7 @@
         meaning: "may have run: no complete answer before its deadline",
         events: ["engine-lost", "engine-order"],
     },
+    "stop-ended": { meaning: "may have run: the gateway stopped and had no time left for it", events: ["stopping"] },
     "caller-behind": { meaning: "the caller did not read its answer", events: [] },
     "caller-gone": { meaning: "the caller disconnected", events: [] },
     "closed-here": { meaning: "the gateway closed its connection before its end", events: ["stopping"] },
