--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -53,6 +53,8 @@
 /** Accepts callers' requests: finds the route and the account, reads the body and starts forwarding. */
 export class Forwarder {
     private readonly active = new Set<ForwardedRequest>();
+    /** Refusals of requests whose body still arrives. */
+    private readonly readingBody = new Set<() => void>();
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBiasEstimator();
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
@@ -83,6 +85,12 @@
         return { bodies, answers: this.answerBytes.getHeld(), unread };
     }
 
+    /** Gives every request in flight its final answer, since the process ends. */
+    endAll(): void {
+        [...this.readingBody].forEach(refuseUnread => refuseUnread());
+        [...this.active].forEach(forwarded => forwarded.endForStop());
+    }
+
     forward(request: IncomingMessage, response: ServerResponse): void {
         const { codec, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
@@ -146,7 +154,17 @@
         }
         const configurationVersion = table.getVersion();
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
+        const refuseUnread = () => {
+            this.readingBody.delete(refuseUnread);
+            response.setHeader("connection", "close");
+            refuseRequest(RefusalCause.Stopping, route.name);
+        };
+        this.readingBody.add(refuseUnread);
+        response.on("close", () => this.readingBody.delete(refuseUnread));
         readBody(request, { maxBytes, timeoutMs }, outcome => {
+            if (!this.readingBody.delete(refuseUnread)) {
+                return;
+            }
             if (outcome.kind === "tooLarge") {
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
                 closeUnlessComplete(request, maxBytes, this.options.connections);
