Count what a peer makes a process hold by what it costs, not by its bytes

Cause: what is held of an answer, of a request's body and of unread events was limited by the number of bytes, but each chunk was kept as it arrived. A chunk of one byte costs about a hundred: the heap of 200 MB was full long before the limit, and the process ended with everything in flight. The same in a sidecar that reads a report beside an engine, and in an agent. The parser of event streams copied all of an incomplete event again for each chunk.

ByteCollector copies chunks into blocks that double in size, so that what is held is at most twice the bytes, and charges the blocks to a budget over all requests: bodies, incomplete responses, unread events, 64 MB each. While a caller has not taken the latest write, its events are collected. Whole answers that callers don't read are bounded too: above 64 MB the one that has waited for longest is cut, so that slow readers can't refuse the answers of others. A request above a bound ends truthfully (503 for bodies, a failed attempt for answers).

Tests: @byte-collector, @small-chunks, @engine-http, @gateway, @endpoint-pool, @platform-path.

--- a/packages/agent/src/engineClient.ts
+++ b/packages/agent/src/engineClient.ts
@@ -1,3 +1,4 @@
+import { collectWithin } from "@kumquathall/byte-collector";
 import { KumquathallError } from "@kumquathall/errors";
 import type { FencingNumber, HeaderField, ModelLoad, RunMessage } from "@kumquathall/types";
 import type { EventEmitter } from "node:events";
@@ -175,16 +176,11 @@
 
 /** Reads a whole body. Rejects with {@link EngineError} and closes the connection if it has more than `maxBytes`. */
 async function readWithin(body: Readable, maxBytes: number): Promise<Uint8Array> {
-    const chunks: Uint8Array[] = [];
-    let bytes = 0;
-    for await (const chunk of body as AsyncIterable<Uint8Array>) {
-        bytes += chunk.length;
-        if (bytes > maxBytes) {
-            throw new EngineError(`the response has more than the ${maxBytes} bytes that an agent holds`, false);
-        }
-        chunks.push(chunk);
+    const bytes = await collectWithin(body, maxBytes);
+    if (bytes === undefined) {
+        throw new EngineError(`the response has more than the ${maxBytes} bytes that an agent holds`, false);
     }
-    return Buffer.concat(chunks);
+    return bytes;
 }
 
 function selectHeaders(headers: Record<string, string | string[] | undefined>): HeaderField[] {
--- a/packages/bench/src/capacityPage.ts
+++ b/packages/bench/src/capacityPage.ts
@@ -1,4 +1,5 @@
 import { PACKET_OVERHEAD_BYTES } from "./messageSizes.js";
+import { renderPeerBounds } from "./renderPeerBounds.js";
 import type { CapacityFigures } from "./slopes.js";
 
 /** Size of the deployment to design for. */
@@ -75,6 +76,7 @@
         ),
         ...renderBounds(reader),
         ...renderDailyEvents(reader),
+        ...renderPeerBounds(),
         ...renderMechanisms(),
         ...renderMissedBounds(reader),
         "",
--- /dev/null
+++ b/packages/byte-collector/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./byteBudget.js";
+export * from "./byteCollector.js";
+export * from "./collectWithin.js";
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -1,12 +1,18 @@
+import type { ByteBudget } from "@kumquathall/byte-collector";
 import type { ServerResponse } from "node:http";
+import { EventWriter } from "./eventWriter.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
 import { type Refusal, refuse } from "./refusal.js";
+import type { UnreadAnswers } from "./unreadAnswers.js";
 
 export interface CallerResponseOptions {
     response: ServerResponse;
     codec: HttpHeaderCodec;
     /** Id of the caller's request. */
     requestId: string | undefined;
+    /** Memory of the events that all callers have not read. */
+    unreadEventBytes: ByteBudget;
+    unreadAnswers: UnreadAnswers;
 }
 
 type Headers = Record<string, string | string[] | undefined>;
@@ -18,7 +24,11 @@
     /** Monotonic time of the latest event, in milliseconds; 0 before the first. */
     lastByteAt = 0;
 
-    constructor(private readonly options: CallerResponseOptions) {}
+    private readonly events: EventWriter;
+
+    constructor(private readonly options: CallerResponseOptions) {
+        this.events = new EventWriter(options.response, options.unreadEventBytes);
+    }
 
     hasBegun(): boolean {
         return this.firstByteAt !== undefined;
@@ -30,19 +40,15 @@
         response.writeHead(status, codec.encodeResponse(headers));
     }
 
-    writeEvent(bytes: Buffer): void {
+    /** Writes an event; returns `false` if the caller has more to read than may be held. */
+    writeEvent(bytes: Buffer): boolean {
         this.lastByteAt = performance.now();
-        this.options.response.write(bytes);
-    }
-
-    /** Number of bytes that the caller has not read. */
-    countUnreadBytes(): number {
-        return this.options.response.writableLength;
+        return this.events.write(bytes);
     }
 
     /** Ends a stream as complete. */
     endStream(): void {
-        this.options.response.end();
+        this.events.end();
     }
 
     /** Sends a whole answer. */
@@ -51,6 +57,7 @@
         this.firstByteAt = performance.now();
         response.writeHead(status, { ...codec.encodeResponse(headers), "content-length": String(body.length) });
         response.end(body);
+        this.options.unreadAnswers.add(response, body.length);
     }
 
     refuse(refusal: Refusal): void {
--- a/packages/gateway/src/eventStreamParser.ts
+++ b/packages/gateway/src/eventStreamParser.ts
@@ -1,6 +1,10 @@
+import { type ByteBudget, ByteCollector } from "@kumquathall/byte-collector";
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_PATTERN = /^id:\s*(\d+)\s*$/m;
+const ID_PATTERN = /^id:\s*(\d{1,15})\s*$/m;
+/** Largest event that is held until it is complete, in bytes. */
+export const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** One complete event of a stream, with its bytes unchanged. */
 export interface StreamEvent {
@@ -8,28 +12,93 @@
     bytes: Buffer;
 }
 
+/** What the latest bytes of an event were, as far as they may belong to the empty line that ends it. */
+const Ending = { None: 0, LineFeed: 1, LineFeedAndReturn: 2 } as const;
+
 /** Splits an event stream into complete events, so that a part of an event is never forwarded. */
 export class EventStreamParser {
-    private pending: Buffer = Buffer.alloc(0);
+    /** The bytes after the last complete event. */
+    private readonly pending: ByteCollector;
+    private ending: number = Ending.None;
+    private isOverLimit = false;
+
+    /** `budget` is shared by all that is held of responses. */
+    constructor(budget?: ByteBudget) {
+        this.pending = new ByteCollector({ maxBytes: MAX_EVENT_BYTES, ...(budget === undefined ? {} : { budget }) });
+    }
 
     /** Adds bytes and returns the events that are now complete. */
     push(chunk: Buffer): StreamEvent[] {
-        const buffer = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
         const events: StreamEvent[] = [];
         let start = 0;
-        let end = findEventEnd(buffer, start);
-        while (end !== undefined) {
-            events.push(decodeEvent(buffer.subarray(start, end)));
+        let end = this.findEventEnd(chunk, start);
+        while (end !== undefined && this.completeEvent(chunk.subarray(start, end), events)) {
             start = end;
-            end = findEventEnd(buffer, start);
+            end = this.findEventEnd(chunk, start);
+        }
+        if (!this.isOverLimit && !this.pending.add(chunk.subarray(start))) {
+            this.isOverLimit = true;
         }
-        this.pending = buffer.subarray(start);
         return events;
     }
 
+    /** Number of bytes after the last complete event. */
+    countIncompleteBytes(): number {
+        return this.pending.length;
+    }
+
     /** Bytes after the last complete event. */
     getIncompleteBytes(): Buffer {
-        return this.pending;
+        return this.pending.join();
+    }
+
+    /** Whether an event is larger than may be held. What follows is not parsed. */
+    hasExceededLimit(): boolean {
+        return this.isOverLimit;
+    }
+
+    /** Forgets the incomplete event. */
+    close(): void {
+        this.pending.close();
+    }
+
+    /** Appends the event that ends with these bytes; returns `false` if it is too large. */
+    private completeEvent(last: Buffer, events: StreamEvent[]): boolean {
+        if (this.pending.length === 0 && last.length <= MAX_EVENT_BYTES) {
+            events.push(decodeEvent(last));
+            return true;
+        }
+        this.isOverLimit = !this.pending.add(last);
+        if (!this.isOverLimit) {
+            events.push(decodeEvent(this.pending.join()));
+            this.pending.close();
+        }
+        return !this.isOverLimit;
+    }
+
+    /** Finds the offset after the empty line that ends the current event, which may have begun in earlier chunks. */
+    private findEventEnd(chunk: Buffer, start: number): number | undefined {
+        let at = start;
+        while (at < chunk.length) {
+            const byte = chunk[at];
+            at++;
+            if (byte === LINE_FEED) {
+                const isEnd = this.ending !== Ending.None;
+                this.ending = isEnd ? Ending.None : Ending.LineFeed;
+                if (isEnd) {
+                    return at;
+                }
+            }
+            else if (byte === CARRIAGE_RETURN && this.ending === Ending.LineFeed) {
+                this.ending = Ending.LineFeedAndReturn;
+            }
+            else {
+                this.ending = Ending.None;
+                const next = chunk.indexOf(LINE_FEED, at);
+                at = next === -1 ? chunk.length : next;
+            }
+        }
+        return undefined;
     }
 }
 
@@ -37,14 +106,3 @@
     const id = ID_PATTERN.exec(bytes.toString("latin1"))?.[1];
     return { id: id === undefined ? undefined : Number(id), bytes };
 }
-
-/** Finds the offset after the empty line that ends an event. */
-function findEventEnd(buffer: Buffer, start: number): number | undefined {
-    for (let at = buffer.indexOf(LINE_FEED, start); at !== -1; at = buffer.indexOf(LINE_FEED, at + 1)) {
-        const next = buffer[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1;
-        if (buffer[next] === LINE_FEED) {
-            return next + 1;
-        }
-    }
-    return undefined;
-}
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -3,7 +3,7 @@
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
 import { isMalformed, listRawHeaders } from "./endpointPool.js";
 import type { SentRequest, TrackedEndpoint } from "./endpointTracker.js";
-import { EventStreamParser } from "./eventStreamParser.js";
+import { EventStreamParser, MAX_EVENT_BYTES } from "./eventStreamParser.js";
 import type { ForwardedRequestOptions } from "./forwardedRequestOptions.js";
 import { HeldAnswer } from "./heldAnswer.js";
 import { InvalidResponseReason, type InvalidResponseReasonValue } from "./invalidResponses.js";
@@ -23,9 +23,6 @@
 const AVOID_AFTER_FAILURE_MS = 500;
 /** Endpoints serve priority 0 first and 9 last. Requests that miss their objective yield to those that can meet it. */
 const LATE_PRIORITY = 8;
-/** Limits of one event and of what a caller has not read, in bytes. */
-const MAX_EVENT_BYTES = 1024 * 1024;
-const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
 const FIRST_SERVER_ERROR = 500;
 
 /** Forwards one request, whose body is complete, until the caller has its final response. */
@@ -54,7 +51,7 @@
 
     constructor(private readonly options: ForwardedRequestOptions) {
         const { head, route, arrivedAt, response } = options;
-        this.answer = new CallerResponse({ response, codec: options.codec, requestId: head.requestId });
+        this.answer = new CallerResponse({ ...options, requestId: head.requestId });
         this.recorder = new RequestRecorder(options);
         this.chooser = new EndpointChooser(options);
         this.subjects = new RequestSubjects({
@@ -78,15 +75,6 @@
         this.sendNext();
     }
 
-    countBodyBytes(): number {
-        return this.options.body.length;
-    }
-
-    /** Counts the bytes that the caller has not read. */
-    countUnreadBytes(): number {
-        return this.answer.countUnreadBytes();
-    }
-
     private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
         const { invalidResponses, head } = this.options;
         const endpoint = attempt.endpoint.view.id;
@@ -182,7 +170,7 @@
         const attempt: RunningAttempt = {
             endpoint,
             sent,
-            parser: new EventStreamParser(),
+            parser: new EventStreamParser(this.options.answerBytes),
             responseHead: undefined,
             status: 0,
             headers: {},
@@ -269,18 +257,25 @@
             }
             return;
         }
+        let isBehind = false;
         for (const event of attempt.parser.push(chunk)) {
             this.recordFirstContent(attempt);
             this.writeHeadOnce(attempt);
             this.restartStallTimer(attempt, this.timing.computeStreamIdleTimeoutMs());
             this.lastEventId = event.id ?? this.lastEventId;
-            this.answer.writeEvent(event.bytes);
+            isBehind = !this.answer.writeEvent(event.bytes);
+            if (isBehind) {
+                break;
+            }
         }
-        if (attempt.parser.getIncompleteBytes().length > MAX_EVENT_BYTES) {
+        if (attempt.parser.hasExceededLimit()) {
             this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
-            this.abandon(attempt, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
+            this.abandon(
+                attempt,
+                `an event is larger than ${MAX_EVENT_BYTES} bytes, or all responses hold as much as they may`,
+            );
         }
-        else if (this.answer.countUnreadBytes() > MAX_UNREAD_BYTES) {
+        else if (isBehind) {
             this.abortUnfinished(attempt);
             this.finishWithoutResponse(RefusalCause.CallerBehind);
         }
@@ -296,13 +291,15 @@
         if (this.attempt !== attempt) {
             return;
         }
+        const body = attempt.answer.getBody();
+        const endsInsideEvent = attempt.parser.countIncompleteBytes() > 0;
         this.release(attempt);
         if (attempt.responseHead?.isNotRun === true || attempt.status === STATUS_MISDIRECTED) {
             this.handleRejection(attempt);
             return;
         }
         if (this.isStream(attempt)) {
-            if (attempt.parser.getIncompleteBytes().length > 0) {
+            if (endsInsideEvent) {
                 this.handleIncompleteResponse(attempt, "the stream ends inside an event", false);
                 return;
             }
@@ -333,7 +330,7 @@
             );
             return;
         }
-        this.deliverResponse(attempt);
+        this.deliverResponse(attempt, body);
     }
 
     private handleFailure(attempt: RunningAttempt, error: Error, isSent: boolean): void {
@@ -428,14 +425,14 @@
         this.answer.writeHead(attempt.status, attempt.headers);
     }
 
-    private deliverResponse(attempt: RunningAttempt): void {
-        const body = attempt.answer.getBody();
+    private deliverResponse(attempt: RunningAttempt, body: Buffer): void {
         this.finish(attempt.status, "served", () => this.answer.deliver(attempt.status, attempt.headers, body));
     }
 
     private release(attempt: RunningAttempt): void {
         this.attempt = undefined;
         attempt.answer.close();
+        attempt.parser.close();
         clearTimeout(this.stallTimer);
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
             attempt.endpoint.endedSinceReport++;
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -1,7 +1,7 @@
+import type { ByteBudget } from "@kumquathall/byte-collector";
 import type { Logger } from "@kumquathall/logger";
 import type { TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { ByteBudget } from "./byteBudget.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
@@ -12,6 +12,7 @@
 import type { QuarantineList } from "./quarantineList.js";
 import type { RouteTable } from "./routeTable.js";
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
+import type { UnreadAnswers } from "./unreadAnswers.js";
 
 /** What one request is and what it needs to be forwarded. */
 export interface ForwardedRequestOptions {
@@ -38,8 +39,11 @@
     limits: EndpointLimits;
     quarantine: QuarantineList;
     crashReporter: CrashReporter;
-    /** Bytes of responses without events that all requests may hold. */
+    /** Memory of the incomplete responses and events of all requests. */
     answerBytes: ByteBudget;
+    /** Memory of the events that all callers have not read. */
+    unreadEventBytes: ByteBudget;
+    unreadAnswers: UnreadAnswers;
     invalidResponses: InvalidResponses;
     onEnd: () => void;
 }
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -1,7 +1,7 @@
+import { ByteBudget } from "@kumquathall/byte-collector";
 import type { Logger } from "@kumquathall/logger";
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { ByteBudget } from "./byteBudget.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
@@ -16,6 +16,7 @@
 import { RequestAgeEstimator } from "./requestAgeEstimator.js";
 import { chooseTarget, type RouteTable } from "./routeTable.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { UnreadAnswers } from "./unreadAnswers.js";
 
 export interface ForwarderOptions {
     tracker: EndpointTracker;
@@ -45,21 +46,30 @@
 
 /** Time for a caller to read the refusal of a request whose body goes on, in milliseconds. */
 const CLOSE_AFTER_MS = 500;
-/** Bytes of responses without events that are held for all requests. */
+/** Memory for all requests, in bytes: their bodies, their incomplete responses, and the events that callers have not read. */
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const MAX_UNREAD_EVENT_BYTES = 64 * 1024 * 1024;
 
 /** Accepts callers' requests: finds the route and the account, reads the body and starts forwarding. */
 export class Forwarder {
     private readonly active = new Set<ForwardedRequest>();
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBiasEstimator();
+    private readonly bodyBytes = new ByteBudget(MAX_BODY_BYTES);
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
+    private readonly unreadEventBytes = new ByteBudget(MAX_UNREAD_EVENT_BYTES);
+    private readonly unreadAnswers: UnreadAnswers;
     private readonly ages = new RequestAgeEstimator();
     private readonly invalidResponses: InvalidResponses;
     private isTrafficSeen = false;
 
     constructor(private readonly options: ForwarderOptions) {
         this.invalidResponses = new InvalidResponses(options.logger, options.metrics.invalidResponses);
+        this.unreadAnswers = new UnreadAnswers(() => {
+            options.metrics.unreadAnswersCut.inc();
+            options.logger.warn("unread-answer-cut");
+        });
     }
 
     hasReceivedRequests(): boolean {
@@ -72,13 +82,11 @@
 
     /** Counts the bytes that are held for peers, by what they are. */
     countHeldBytes(): Record<string, number> {
-        let bodies = 0;
-        let unread = 0;
-        for (const request of this.active) {
-            bodies += request.countBodyBytes();
-            unread += request.countUnreadBytes();
-        }
-        return { bodies, answers: this.answerBytes.getHeld(), unread };
+        return {
+            bodies: this.bodyBytes.getHeld(),
+            answers: this.answerBytes.getHeld(),
+            unread: this.unreadEventBytes.getHeld() + this.unreadAnswers.getHeld(),
+        };
     }
 
     forward(request: IncomingMessage, response: ServerResponse): void {
@@ -144,19 +152,24 @@
         }
         const configurationVersion = table.getVersion();
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
-        readBody(request, { maxBytes, timeoutMs }, outcome => {
+        readBody(request, { maxBytes, budget: this.bodyBytes, timeoutMs }, outcome => {
             if (outcome.kind === "tooLarge") {
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
                 closeUnlessComplete(request, maxBytes);
                 return;
             }
+            if (outcome.kind === "noMemory") {
+                refuseRequest(RefusalCause.BodiesFull, route.name);
+                closeUnlessComplete(request, maxBytes);
+                return;
+            }
             if (outcome.kind === "late") {
                 // Without a close, the rest of the body would be parsed as the next request.
                 response.setHeader("connection", "close");
                 refuseRequest(RefusalCause.BodyLate, route.name);
                 return;
             }
-            const { body } = outcome;
+            const { body, release } = outcome;
             const service = chooseTarget(route, Math.random());
             const forwarded = new ForwardedRequest({
                 request,
@@ -180,8 +193,11 @@
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
                 answerBytes: this.answerBytes,
+                unreadEventBytes: this.unreadEventBytes,
+                unreadAnswers: this.unreadAnswers,
                 invalidResponses: this.invalidResponses,
                 onEnd: () => {
+                    release();
                     this.active.delete(forwarded);
                     metrics.active.set(this.active.size);
                 },
--- a/packages/gateway/src/heldAnswer.ts
+++ b/packages/gateway/src/heldAnswer.ts
@@ -1,33 +1,28 @@
-import type { ByteBudget } from "./byteBudget.js";
+import { type ByteBudget, ByteCollector } from "@kumquathall/byte-collector";
 
 /** Largest response that is held, in bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
 /** Response without events, which is held until it is complete and can be delivered as a whole. */
 export class HeldAnswer {
-    private readonly chunks: Buffer[] = [];
-    private bytes = 0;
+    private readonly collector: ByteCollector;
 
     /** `budget` is shared by all responses that are held. */
-    constructor(private readonly budget: ByteBudget) {}
+    constructor(budget: ByteBudget) {
+        this.collector = new ByteCollector({ maxBytes: MAX_ANSWER_BYTES, budget });
+    }
 
     /** Adds bytes; returns `false`, and adds none, if the response or all responses together exceed their limit. */
     add(chunk: Buffer): boolean {
-        if (this.bytes + chunk.length > MAX_ANSWER_BYTES || !this.budget.take(chunk.length)) {
-            return false;
-        }
-        this.bytes += chunk.length;
-        this.chunks.push(chunk);
-        return true;
+        return this.collector.add(chunk);
     }
 
     getBody(): Buffer {
-        return Buffer.concat(this.chunks);
+        return this.collector.join();
     }
 
-    /** Returns its bytes to the budget. */
+    /** Forgets the response. */
     close(): void {
-        this.budget.release(this.bytes);
-        this.bytes = 0;
+        this.collector.close();
     }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -9,6 +9,7 @@
     quarantined: Gauge<"subject">;
     permits: Counter<"outcome">;
     invalidResponses: Counter<"reason">;
+    unreadAnswersCut: Counter;
 }
 
 export interface GatewayMetricsOptions {
@@ -88,6 +89,11 @@
             labelNames: ["reason"],
             registers,
         }),
+        unreadAnswersCut: new Counter({
+            name: "kumquathall_gateway_unread_answers_cut_total",
+            help: "Connections closed because callers had not read their answers while others held as much as they may",
+            registers,
+        }),
         active: new Gauge({
             name: "kumquathall_gateway_active_requests",
             help: "Requests under way",
--- a/packages/gateway/src/readBody.ts
+++ b/packages/gateway/src/readBody.ts
@@ -1,43 +1,54 @@
+import { type ByteBudget, ByteCollector } from "@kumquathall/byte-collector";
 import type { IncomingMessage } from "node:http";
 
 export interface BodyLimits {
     maxBytes: number;
+    /** Memory that the bodies of all requests may hold. */
+    budget: ByteBudget;
     /** Time limit for the whole body, in milliseconds. */
     timeoutMs: number;
 }
 
 export type BodyOutcome =
-    | { kind: "whole"; body: Buffer }
+    /** `release` is called once the request has ended and its body is no longer needed. */
+    | { kind: "whole"; body: Buffer; release: () => void }
     | { kind: "tooLarge" }
+    /** The bodies of all requests hold as much as they may. */
+    | { kind: "noMemory" }
     /** The body did not arrive within the time limit. */
     | { kind: "late" };
 
 /** Reads a whole body and calls `onOutcome` once, or never if the caller disconnects first. */
 export function readBody(
     request: IncomingMessage,
-    limits: BodyLimits,
+    { maxBytes, budget, timeoutMs }: BodyLimits,
     onOutcome: (outcome: BodyOutcome) => void,
 ): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const collector = new ByteCollector({ maxBytes, budget });
     let isFinished = false;
     const settle = (outcome: BodyOutcome) => {
-        if (!isFinished) {
-            isFinished = true;
-            clearTimeout(timer);
-            onOutcome(outcome);
+        if (isFinished) {
+            return;
+        }
+        isFinished = true;
+        clearTimeout(timer);
+        if (outcome.kind !== "whole") {
+            collector.close();
         }
+        onOutcome(outcome);
     };
-    const timer = setTimeout(() => settle({ kind: "late" }), limits.timeoutMs);
+    const timer = setTimeout(() => settle({ kind: "late" }), timeoutMs);
     request.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > limits.maxBytes) {
-            settle({ kind: "tooLarge" });
+        if (!isFinished && !collector.add(chunk)) {
+            settle({ kind: collector.length + chunk.length > maxBytes ? "tooLarge" : "noMemory" });
         }
-        else if (!isFinished) {
-            chunks.push(chunk);
+    });
+    request.on("end", () => settle({ kind: "whole", body: collector.join(), release: () => collector.close() }));
+    request.on("close", () => {
+        clearTimeout(timer);
+        if (!isFinished) {
+            isFinished = true;
+            collector.close();
         }
     });
-    request.on("end", () => settle({ kind: "whole", body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks) }));
-    request.on("close", () => clearTimeout(timer));
 }
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -20,6 +20,8 @@
     /** The body did not arrive by the caller's deadline or the route's timeout; 408 guarantees that it has not run. */
     BodyLate: { name: "body-late", status: 408 },
     BodyTooLarge: { name: "body-too-large", status: 413 },
+    /** The bodies of all requests hold as much memory as they may. */
+    BodiesFull: { name: "bodies-full", status: 503, retryAfterMs: 1000 },
     NoEndpoint: { name: "no-endpoint", status: 503, retryAfterMs: 1000 },
     /** What the request is, or what it carries, has ended the endpoints that ran it. */
     Quarantined: { name: "fenced", status: 503 },
