--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,6 +1,12 @@
 import { ControlDirectory } from "@kumquathall/control-directory";
 import { describeError } from "@kumquathall/errors";
-import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
+import {
+    createIdentity,
+    createInputFaultLog,
+    createLinkFaultHandler,
+    type RoleContext,
+    type RunningRole,
+} from "@kumquathall/kernel";
 import { type Link, parseAddress } from "@kumquathall/link";
 import type {
     ConfigurationUpdate,
@@ -13,6 +19,7 @@
     RevisionCast,
 } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { CallerConnections, CloseReason } from "./callerConnections.js";
 import { CrashReporter } from "./crashReporter.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import { EndpointTracker } from "./endpointTracker.js";
@@ -65,6 +72,7 @@
     private readonly limits: EndpointLimits;
     private readonly forwarder: Forwarder;
     private readonly server: Server;
+    private readonly connections: CallerConnections;
     private readonly readyServer: Server;
     private readonly staleTimer: NodeJS.Timeout;
     private stoppingSince: number | undefined;
@@ -76,6 +84,7 @@
         private readonly codec: HttpHeaderCodec,
     ) {
         const { logger } = context;
+        const faults = createInputFaultLog(context);
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
             countPaused: () => this.tracker.countPaused(performance.now()),
@@ -95,6 +104,7 @@
         this.tracker = new EndpointTracker({
             getService: name => this.reader.getTable()?.getService(name),
             logger,
+            faults,
             onCrash: crash => this.crashReporter.reportCrash(crash, performance.now()),
             onLeaving: fact => this.directory.castAll({ kind: "endpointFacts", facts: [fact] }),
         });
@@ -109,10 +119,21 @@
             },
             countGateways: () => this.directory.countGateways(),
         });
+        this.server = createServer(
+            { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 60_000, requestTimeout: 0 },
+            (request, response) => this.handle(request, response),
+        );
+        this.connections = new CallerConnections({
+            server: this.server,
+            logger,
+            metrics: this.metrics,
+            isStopping: () => this.stoppingSince !== undefined,
+        });
         this.staleTimer = setInterval(() => this.removeStale(), STALE_CHECK_MS);
         this.forwarder = new Forwarder({
             tracker: this.tracker,
             limits: this.limits,
+            connections: this.connections,
             codec,
             logger,
             metrics: this.metrics,
@@ -130,10 +151,6 @@
             retryRatio: settings.retryBudget.ratio,
             retryWindowMs: settings.retryBudget.windowMs,
         });
-        this.server = createServer(
-            { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 60_000, requestTimeout: 0 },
-            (request, response) => this.handle(request, response),
-        );
         this.readyServer = createServer((request, response) => this.handleReadinessCheck(request, response));
         this.directory = new ControlDirectory({
             identity: createIdentity(context, "gateway"),
@@ -142,6 +159,7 @@
                 onOpen: link => this.attachLink(link),
                 onClose: link => this.reader.removeLink(link),
                 onCast: (message, link) => this.handleCast(message as ControlCast, link),
+                onFault: createLinkFaultHandler(faults),
             },
             logger,
         });
@@ -195,9 +213,9 @@
         this.tracker.close();
         this.limits.close();
         clearInterval(this.staleTimer);
+        this.connections.closeAll(CloseReason.StopEnded);
         this.server.close();
         this.readyServer.close();
-        this.server.closeAllConnections();
         this.readyServer.closeAllConnections();
         return Promise.resolve();
     }
@@ -211,6 +229,7 @@
         // Node ends the process on an error event without a listener. The response's close event handles disconnects.
         request.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
         response.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
+        this.connections.addRequest(request, response);
         this.forwarder.forward(request, response);
     }
 
@@ -264,13 +283,13 @@
         }
         void this.reader.watch(link);
         link.call({ kind: "watchEndpoints" })
-            .then(answer => this.recordFacts(answer as ControlAnswer))
+            .then(answer => this.recordFacts(answer as ControlAnswer, link))
             .catch(error => link.close(`no endpoints: ${describeError(error)}`));
     }
 
-    private recordFacts(answer: ControlAnswer): void {
+    private recordFacts(answer: ControlAnswer, link: Link): void {
         if (answer.kind === "endpoints") {
-            this.tracker.record(answer.facts, performance.now());
+            this.tracker.record(answer.facts, performance.now(), link.peer?.id);
         }
     }
 
@@ -279,7 +298,7 @@
             this.reader.recordRevision(link, message.revision);
         }
         else if (message.kind === "endpointFacts") {
-            this.tracker.record(message.facts, performance.now());
+            this.tracker.record(message.facts, performance.now(), link.peer?.id);
         }
         else if (message.kind === "endpointLimits") {
             this.limits.record(message.facts, performance.now());
