--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,7 @@
     responsesCut: Counter<"reason">;
     parseErrors: Counter<"code">;
     invalidResponses: Counter<"reason">;
+    unreadAnswersCut: Counter;
 }
 
 export interface GatewayMetricsOptions {
@@ -117,6 +118,11 @@
             labelNames: ["reason"],
             registers,
         }),
+        unreadAnswersCut: new Counter({
+            name: "kumquathall_gateway_unread_answers_cut_total",
+            help: "Connections closed because callers had not read their answers while others held as much as they may",
+            registers,
+        }),
         active: new Gauge({
             name: "kumquathall_gateway_active_requests",
             help: "Requests under way",
