Sync what is recovered before it counts as durable

Cause: a process that ends between a write and its sync leaves the write in the page cache. Its successor recovered it, took it for durable, and answered with it: an append that it already holds is confirmed without a write, and a vote that it finds is granted again without one. A loss of power then drops both. Kills of all processes and losses of power may follow each other.

The newest segment, the only one with unsynced writes, is now synced when the log is opened. The folder was synced there already.

--- a/packages/matrix/src/logFiles.feature
+++ b/packages/matrix/src/logFiles.feature
@@ -6,3 +6,9 @@
     Scenario: A snapshot is stored while a segment is started
         When a member stores the next snapshot while it starts a segment, with seeds 1 to 40
         Then no write fails, and the log opens with the newest snapshot
+
+    # Guards against a confirmation that a loss of power takes back: after its process had ended before a sync, a member
+    # counted entries as durable that were in the page cache only.
+    Scenario: What a member has recovered outlives a loss of power
+        When a process ends during an append, another opens the log and the VM then loses power, with seeds 1 to 40
+        Then no entry that was recovered is lost
--- a/packages/storage/src/logStore.ts
+++ b/packages/storage/src/logStore.ts
@@ -124,6 +124,8 @@
         checkContinuity(state);
         this.segmentNumber = segments.length === 0 ? 1 : Number(SEGMENT_PATTERN.exec(segments.at(-1) ?? "")?.[1]);
         this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
+        // A former process may have ended between a write and its sync; what is recovered counts as durable from here on.
+        await this.segment.sync();
         return state;
     }
 
