--- a/packages/storage/src/logStore.ts
+++ b/packages/storage/src/logStore.ts
@@ -18,10 +18,13 @@
 }
 
 type LogRecord<Payload> =
-    | { kind: "hardState"; hardState: HardState }
+    /** The first of a segment, with the entries in the same block, stands for all that earlier segments hold. */
+    | { kind: "hardState"; hardState: HardState; isFirst?: boolean }
     | { kind: "entry"; entry: LogEntry<Payload> };
 
 const SEGMENT_PATTERN = /^log-(\d{16})$/;
+/** Ending of the temporary names under which {@link Disk.replace} writes. */
+const TEMPORARY_SUFFIX = ".tmp";
 const SNAPSHOT_PATTERN = /^snapshot-(\d{16})$/;
 
 /** The replicated log of one member on disk: segments of checksummed blocks, and the newest snapshot. */
@@ -72,7 +75,7 @@
             this.segmentNumber++;
             this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
             const entries = remaining.map(entry => ({ kind: "entry" as const, entry }));
-            await this.writeBlock([{ kind: "hardState", hardState }, ...entries]);
+            await this.writeBlock([{ kind: "hardState", hardState, isFirst: true }, ...entries]);
             await previous?.close();
             await this.removeObsolete(snapshotIndex);
         }
@@ -106,6 +109,7 @@
 
     private async recover(): Promise<RecoveredState<Payload>> {
         const names = await this.disk.list();
+        await this.removeTemporary(names);
         const snapshot = await this.readNewestSnapshot(names);
         const state: RecoveredState<Payload> = {
             hardState: { term: 0, votedFor: undefined },
@@ -121,6 +125,8 @@
         checkContinuity(state);
         this.segmentNumber = segments.length === 0 ? 1 : Number(SEGMENT_PATTERN.exec(segments.at(-1) ?? "")?.[1]);
         this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
+        // A former process may have ended between a write and its sync; what is recovered counts as durable from here on.
+        await this.segment.sync();
         return state;
     }
 
@@ -154,12 +160,21 @@
         return decoded.records[0] as Snapshot;
     }
 
+    /** Removes temporary files that a process has left behind. Only at the start: later a snapshot may be in writing. */
+    private async removeTemporary(names: string[]): Promise<void> {
+        for (const name of names) {
+            if (name.endsWith(TEMPORARY_SUFFIX)) {
+                await this.disk.remove(name);
+            }
+        }
+    }
+
     private async removeObsolete(snapshotIndex: number): Promise<void> {
         for (const name of await this.disk.list()) {
             const segment = SEGMENT_PATTERN.exec(name);
             const snapshot = SNAPSHOT_PATTERN.exec(name);
             const isObsolete = (segment !== null && Number(segment[1]) < this.segmentNumber)
-                || (snapshot !== null && Number(snapshot[1]) < snapshotIndex) || name.endsWith(".tmp");
+                || (snapshot !== null && Number(snapshot[1]) < snapshotIndex);
             if (isObsolete) {
                 await this.disk.remove(name);
             }
@@ -170,6 +185,9 @@
 function applyRecord<Payload>(state: RecoveredState<Payload>, record: LogRecord<Payload>): void {
     if (record.kind === "hardState") {
         state.hardState = record.hardState;
+        if (record.isFirst === true) {
+            state.entries = [];
+        }
         return;
     }
     // An entry replaces earlier entries at its index and above.
