Drop the one message or fact that can't be carried, not the link or the process

What callers saw: one odd fact ended the control member that sent it on, or closed its links to gateways again and again, so that everything behind it was never received.

Cause: exceptions of the encoder were not FrameErrors and left the timers and callbacks that sent the message. A message that no frame holds, a frame that is no CBOR, one of an unknown type and a message that its receiver can't handle closed the link, which was opened again and given the same message. The facts for a new gateway were one answer, which beyond 8 MiB failed for each new link.

Frames have a length, so the next one is found whatever a body holds: each such message is now dropped and reported with its cause, and the link goes on. A link is still closed for a frame length above the limit, a first frame that is no hello, and an identity without id or cluster. Facts are checked and handled one by one, copied with their known fields only, and sent in messages that are halved until a frame holds them.

The scenario that asked for a closed link after a message that can't be handled now asks for more: the link stays open and carries the next message.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -367,7 +367,8 @@
             case "watchEndpoints":
                 this.quarantineTask?.watch(link);
                 this.limitTask?.watch(link);
-                return { kind: "endpoints", facts: this.endpointTask?.watch(link) ?? [] };
+                this.endpointTask?.watch(link);
+                return { kind: "endpoints", facts: [] };
             case "takePermits":
                 return this.limitTask?.grant(link.peer?.id ?? "", call.wants) ?? this.buildRedirect();
             case "watchRevision":
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -1,8 +1,15 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
 import { getTraffic } from "@kumquathall/control-state";
-import { EndpointRegistry, type EndpointView, FactEffect, findFactFault } from "@kumquathall/endpoint-registry";
+import {
+    EndpointRegistry,
+    type EndpointView,
+    FactEffect,
+    findFactFault,
+    pickFact,
+} from "@kumquathall/endpoint-registry";
 import { LoadBudget, planEngineOrders, type PlannedOrder } from "@kumquathall/engine-groups";
 import { estimateServiceMs } from "@kumquathall/engine-model";
+import { describeError } from "@kumquathall/errors";
 import { castToAll, type Link } from "@kumquathall/link";
 import { InputFaultLog, type Logger } from "@kumquathall/logger";
 import type {
@@ -51,6 +58,8 @@
 const EPOCHS_PER_TERM = 2 ** 24;
 /** Time from the end of a group's formation until the head reports that it serves, in milliseconds. */
 const OPEN_MARGIN_MS = 500;
+/** Facts in one message to a newly linked gateway. */
+const MAX_FACTS = 1024;
 /** Role name under which sidecars link to control. */
 export const SIDECAR_ROLE = "sidecar";
 
@@ -98,6 +107,17 @@
             this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
             return false;
         }
+        try {
+            return this.recordUsable(pickFact(fact), now);
+        }
+        catch (error) {
+            const message = describeError(error);
+            this.faults.record({ kind: "endpoint-fact", reason: "its handling failed", writer, message }, now);
+            return false;
+        }
+    }
+
+    private recordUsable(fact: EndpointFact, now: number): boolean {
         if (fact.kind === "heartbeat") {
             this.recordEndpoint(fact.id, now);
         }
@@ -143,10 +163,13 @@
         return this.registry.hasIncarnation(key);
     }
 
-    /** Registers a link for all new facts and returns those known so far. */
-    watch(link: Link): EndpointFact[] {
+    /** Registers a link for all new facts and sends it those known so far. */
+    watch(link: Link): void {
         this.watchers.add(link);
-        return this.registry.listFacts();
+        const facts = this.registry.listFacts();
+        for (let at = 0; at < facts.length; at += MAX_FACTS) {
+            this.castFacts([link], facts.slice(at, at + MAX_FACTS));
+        }
     }
 
     countWatchers(): number {
@@ -194,7 +217,23 @@
         this.flushDueAt = Number.POSITIVE_INFINITY;
         const facts = this.pending;
         this.pending = [];
-        castToAll([...this.watchers], { kind: "endpointFacts", facts });
+        this.castFacts([...this.watchers], facts);
+    }
+
+    /** Sends facts in one message, or in several if no frame holds them; a fact that no frame holds is dropped. */
+    private castFacts(links: Link[], facts: EndpointFact[]): void {
+        if (facts.length === 0 || castToAll(links, { kind: "endpointFacts", facts })) {
+            return;
+        }
+        if (facts.length === 1) {
+            const [fact] = facts;
+            const writer = fact.kind === "observation" ? fact.address : fact.id;
+            this.faults.record({ kind: "endpoint-fact", reason: "no frame holds it", writer });
+            return;
+        }
+        const middle = facts.length >> 1;
+        this.castFacts(links, facts.slice(0, middle));
+        this.castFacts(links, facts.slice(middle));
     }
 
     private decide(now: number): void {
--- a/packages/endpoint-registry/src/index.ts
+++ b/packages/endpoint-registry/src/index.ts
@@ -14,3 +14,4 @@
     isFactName,
     isSocketAddress,
 } from "./findFactFault.js";
+export { pickFact } from "./pickFact.js";
--- a/packages/link/src/frame.ts
+++ b/packages/link/src/frame.ts
@@ -5,14 +5,17 @@
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 const HEADER_BYTES = 4;
 
-/** A frame is too large or not valid CBOR. A connection that received such a frame must be closed. */
+/** A message can't be encoded, or a frame is too large. A connection that received a frame that is too large must be closed. */
 export class FrameError extends KumquathallError {}
 
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false, structuredClone: false });
 
-/** Encodes a message as a 4-byte big-endian length and a CBOR body. Throws {@link FrameError} if it is too large. */
+/**
+ * Encodes a message as a 4-byte big-endian length and a CBOR body. Throws {@link FrameError} if it is too large or holds
+ * what can't be encoded, for example lists that are nested too deep.
+ */
 export function encodeFrame(message: unknown): Buffer {
-    const body = codec.encode(message);
+    const body = encodeBody(message);
     if (body.length > MAX_FRAME_BYTES) {
         throw new FrameError(`a frame of ${body.length} bytes exceeds the limit of ${MAX_FRAME_BYTES}`);
     }
@@ -26,7 +29,10 @@
 export class FrameDecoder {
     private incomplete: Buffer = Buffer.alloc(0);
 
-    /** Decodes all frames completed by `data`. Throws {@link FrameError} if a frame is too large or not valid CBOR. */
+    /** `onMalformed` is called for each frame that is not valid CBOR; such a frame is skipped. */
+    constructor(private readonly onMalformed: (error: unknown) => void = () => undefined) {}
+
+    /** Decodes all frames completed by `data`. Throws {@link FrameError} if a frame is too large. */
     decode(data: Buffer): unknown[] {
         const buffer = this.incomplete.length === 0 ? data : Buffer.concat([this.incomplete, data]);
         const messages: unknown[] = [];
@@ -40,19 +46,28 @@
             if (buffer.length < end) {
                 break;
             }
-            messages.push(decodeBody(buffer.subarray(offset + HEADER_BYTES, end)));
+            this.decodeBody(buffer.subarray(offset + HEADER_BYTES, end), messages);
             offset = end;
         }
         this.incomplete = offset === buffer.length ? Buffer.alloc(0) : buffer.subarray(offset);
         return messages;
     }
+
+    private decodeBody(body: Buffer, messages: unknown[]): void {
+        try {
+            messages.push(codec.decode(body));
+        }
+        catch (error) {
+            this.onMalformed(error);
+        }
+    }
 }
 
-function decodeBody(body: Buffer): unknown {
+function encodeBody(message: unknown): Buffer {
     try {
-        return codec.decode(body);
+        return codec.encode(message);
     }
     catch (error) {
-        throw new FrameError("a frame does not contain a valid CBOR value", error);
+        throw new FrameError("a message can't be encoded", error);
     }
 }
--- a/packages/link/src/link.steps.ts
+++ b/packages/link/src/link.steps.ts
@@ -10,7 +10,6 @@
 let handled: unknown[] = [];
 let peers: Link[] = [];
 let received: unknown[] = [];
-let closed: Promise<void>;
 let handledNext: Promise<void>;
 
 function buildIdentity(id: string): PeerIdentity {
@@ -22,13 +21,12 @@
     return new Promise(resolve => {
         const link: Link = new Link(connect(listener.getPort(), HOST), {
             identity: buildIdentity(id),
-            handlers: { onOpen: () => resolve(link), onCast, onClose: () => notifyClosed() },
+            handlers: { onOpen: () => resolve(link), onCast },
         });
         peers.push(link);
     });
 }
 
-let notifyClosed: () => void = () => undefined;
 let notifyHandled: () => void = () => undefined;
 
 Before({ tags: "@link" }, () => {
@@ -59,14 +57,19 @@
 });
 
 When("a peer sends it the message {string}", async (message: string) => {
-    closed = new Promise(resolve => notifyClosed = resolve);
     handledNext = new Promise(resolve => notifyHandled = resolve);
     const link = await openPeer(`peer-${peers.length}`);
     link.cast(message);
     await handledNext;
 });
 
-Then("the peer's link is closed", () => closed);
+When("the same peer sends it the message {string}", async (message: string) => {
+    handledNext = new Promise(resolve => notifyHandled = resolve);
+    peers[peers.length - 1].cast(message);
+    await handledNext;
+});
+
+Then("the peer's link is open", () => strictEqual(peers.every(peer => peer.isOpen()), true));
 
 Then("it has handled the messages {string}", (messages: string) => {
     deepStrictEqual(handled, messages.split(", "));
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -76,7 +76,7 @@
 export class Link {
     /** Set when the peer's first frame has arrived. */
     peer: PeerIdentity | undefined;
-    private readonly decoder = new FrameDecoder();
+    private readonly decoder = new FrameDecoder(error => this.reportFault("frame", error));
     private readonly pendingCalls = new Map<number, PendingCall>();
     private nextCallId = 1;
     private lastReceivedAt = performance.now();
@@ -112,19 +112,20 @@
     }
 
     /**
-     * Sends a one-way message. It is dropped if the link is closed; a message that no frame holds closes the link.
-     * `encoded` is the message's frame, if it was sent over another link before.
+     * Sends a one-way message. It is dropped if the link is closed, and if no frame holds it; the link stays open.
+     * `encoded` is the message's frame, if it was sent over another link before. Returns whether a frame holds it.
      */
-    cast(message: unknown, encoded?: Buffer): void {
+    cast(message: unknown, encoded?: Buffer): boolean {
         try {
             this.sendData(encoded ?? encodeCast(message));
+            return true;
         }
         catch (error) {
             if (!(error instanceof FrameError)) {
                 throw error;
             }
             this.reportFault("sent-message", error);
-            this.close(describeError(error));
+            return false;
         }
     }
 
@@ -235,7 +236,7 @@
 
     private handleFrame(frame: LinkFrame): void {
         if (typeof frame !== "object" || frame === null) {
-            this.close("received a frame that is not an object");
+            this.reportFault("frame", new FrameError("a frame is not an object"));
             return;
         }
         if (this.peer === undefined && frame.t !== "hello") {
@@ -261,28 +262,37 @@
                 this.handleCast(frame.m);
                 return;
             default:
-                this.close("received a frame of unknown type");
+                this.reportFault("frame", new FrameError("a frame is of an unknown type"));
         }
     }
 
-    /** Delivers a one-way message. One that its receiver can't handle closes the link; the process runs on. */
+    /** Delivers a one-way message. One that its receiver can't handle is dropped; the link stays open. */
     private handleCast(message: unknown): void {
         try {
             this.options.handlers.onCast?.(message, this);
         }
         catch (error) {
             this.reportFault("cast", error);
-            this.close(`a received message can't be handled: ${describeError(error)}`);
         }
     }
 
     private handleHello(identity: PeerIdentity): void {
-        if (identity?.cluster !== this.options.identity.cluster) {
-            this.close(`the peer belongs to cluster "${identity?.cluster}"`);
+        if (typeof identity?.id !== "string" || typeof identity.role !== "string") {
+            this.close("the peer's identity has no id or role");
+            return;
+        }
+        if (identity.cluster !== this.options.identity.cluster) {
+            this.close(`the peer belongs to cluster "${identity.cluster}"`);
             return;
         }
         this.peer = identity;
-        this.options.handlers.onOpen?.(this);
+        try {
+            this.options.handlers.onOpen?.(this);
+        }
+        catch (error) {
+            this.reportFault("cast", error);
+            this.close(`the link can't be opened: ${describeError(error)}`);
+        }
     }
 
     private reportFault(kind: LinkFault["kind"], error: unknown): void {
@@ -309,18 +319,27 @@
     }
 }
 
-/** Sends a one-way message over several links; it is encoded once. A message that no frame holds closes the links. */
-export function castToAll(links: Link[], message: unknown): void {
-    let encoded: Buffer | undefined;
+/**
+ * Sends a one-way message over several links; it is encoded once. Returns whether a frame holds it; otherwise it is
+ * dropped, and the first link reports it.
+ */
+export function castToAll(links: Link[], message: unknown): boolean {
+    const [first, ...others] = links;
+    if (others.length === 0) {
+        return first?.cast(message) ?? true;
+    }
+    let encoded: Buffer;
     try {
-        encoded = links.length > 1 ? encodeCast(message) : undefined;
+        encoded = encodeCast(message);
     }
     catch (error) {
         if (!(error instanceof FrameError)) {
             throw error;
         }
+        return first.cast(message);
     }
     links.forEach(link => link.cast(message, encoded));
+    return true;
 }
 
 function encodeCast(message: unknown): Buffer {
--- a/packages/matrix/src/leavingSimulation.ts
+++ b/packages/matrix/src/leavingSimulation.ts
@@ -138,8 +138,11 @@
                     setTimeout(() => tracker.record(facts, performance.now()), MESSAGE_MS);
                 }
             };
-            const cast = (message: unknown) => deliver((message as { facts: EndpointFact[] }).facts);
-            deliver(task.watch({ cast } as unknown as Link));
+            const cast = (message: unknown) => {
+                deliver((message as { facts: EndpointFact[] }).facts);
+                return true;
+            };
+            task.watch({ cast } as unknown as Link);
         }
     }
 
