Close a caller's connection only when none of its requests loses its answer by that

What callers saw: requests without an answer on kept connections, around stops and at the idle limit; a request that ended with 400, or a response that broke off, because of bytes that followed the request on its connection.

Cause: connections were closed by what a timer or the parser saw, not by the requests on them. The idle timer and the stop's loop run before the sockets are read, so a request that had arrived while the process was busy lost its connection. Node's answer to a parse error or to a late head (a 400 or 408 in place of the answer under way, then a close) ends the request before as well. During a stop, a pipelined request was run behind a response that closes the connection; and the answer to a request from before the signal promised to keep a connection that was then closed.

Now a connection is closed as idle after one more turn in which its socket is read, and only without a request; the stop reads once more before it counts what is left. After unreadable bytes the requests that were read whole get their answers first. At the signal, the newest response under way on each connection announces the close, and a request behind such a response is not run.

--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -43,6 +43,8 @@
     /** Responses that have not left the process, oldest first. */
     unfinished: Set<ServerResponse>;
     closeReason: CloseReasonValue | undefined;
+    /** Why it is closed once the requests that were read whole have their answers. */
+    closesFor: CloseReasonValue | undefined;
 }
 
 /** Callers' connections with their unfinished responses, and why this process closes them. */
@@ -55,14 +57,43 @@
         server.on("clientError", (error: Error & { code?: string }, socket) => {
             this.handleClientError(error, socket as Socket);
         });
-        server.on("timeout", (socket: Socket) => this.close(socket, CloseReason.Idle));
+        server.on("timeout", (socket: Socket) => this.closeIfIdle(socket, CloseReason.Idle));
     }
 
-    /** Adds a request that has arrived; its response counts as unfinished until it has left the process. */
-    addRequest(request: IncomingMessage, response: ServerResponse): void {
-        const unfinished = this.connections.get(request.socket)?.unfinished;
-        unfinished?.add(response);
-        response.on("close", () => unfinished?.delete(response));
+    /**
+     * Adds a request that has arrived; its response counts as unfinished until it has left the process. Returns `false`
+     * for a request that must not be run, since the response to the one before it ends the connection.
+     */
+    addRequest(request: IncomingMessage, response: ServerResponse): boolean {
+        const { socket } = request;
+        const connection = this.connections.get(socket);
+        if (connection === undefined) {
+            return true;
+        }
+        const { unfinished } = connection;
+        if ([...unfinished].some(isLast)) {
+            this.options.logger.debug("request-ignored", { reason: "an earlier response ends the connection" });
+            request.resume();
+            return false;
+        }
+        unfinished.add(response);
+        response.on("close", () => {
+            unfinished.delete(response);
+            if (connection.closesFor !== undefined && !hasWholeRequest(connection)) {
+                this.close(socket, connection.closesFor);
+            }
+        });
+        return true;
+    }
+
+    /** Announces on each connection that it closes after the newest response under way. */
+    announceClose(): void {
+        for (const { unfinished } of this.connections.values()) {
+            const newest = [...unfinished].at(-1);
+            if (newest !== undefined && !newest.headersSent) {
+                newest.setHeader("connection", "close");
+            }
+        }
     }
 
     /** Number of responses that have not left the process, over all connections. */
@@ -86,10 +117,8 @@
      * `closeIdleConnections` counts a response as ended once it is complete, sent or not.
      */
     closeIdle(reason: CloseReasonValue): void {
-        for (const [socket, { unfinished }] of this.connections) {
-            if (unfinished.size === 0) {
-                this.close(socket, reason);
-            }
+        for (const socket of this.connections.keys()) {
+            this.closeIfIdle(socket, reason);
         }
     }
 
@@ -99,11 +128,21 @@
     }
 
     private addSocket(socket: Socket): void {
-        this.connections.set(socket, { unfinished: new Set(), closeReason: undefined });
+        this.connections.set(socket, { unfinished: new Set(), closeReason: undefined, closesFor: undefined });
         // Responses report the close of their connection in the same turn, and ask for its reason.
         socket.on("close", () => setImmediate(() => this.connections.delete(socket)));
     }
 
+    /** Closes a connection without a request, once the bytes that wait at its socket have been read. */
+    private closeIfIdle(socket: Socket, reason: CloseReasonValue): void {
+        const { bytesRead } = socket;
+        setImmediate(() => {
+            if (this.connections.get(socket)?.unfinished.size === 0 && socket.bytesRead === bytesRead) {
+                this.close(socket, reason);
+            }
+        });
+    }
+
     private handleClientError(error: Error & { code?: string }, socket: Socket): void {
         const { logger, metrics } = this.options;
         const code = error.code ?? "";
@@ -112,13 +151,21 @@
             socket.destroy(error);
             return;
         }
+        const connection = this.connections.get(socket);
+        if (connection === undefined || connection.closesFor !== undefined) {
+            return;
+        }
+        connection.closesFor = code === HEAD_LATE_CODE ? CloseReason.HeadLate : CloseReason.BadRequest;
         metrics.parseErrors.inc({ code });
         logger.debug("request-unreadable", { code, message: error.message });
-        const hasBegun = [...this.connections.get(socket)?.unfinished ?? []].some(response => response.headersSent);
+        if (hasWholeRequest(connection)) {
+            return;
+        }
+        const hasBegun = [...connection.unfinished].some(response => response.headersSent);
         if (socket.writable && !hasBegun) {
             socket.write(`HTTP/1.1 ${STATUS_LINES[code] ?? BAD_REQUEST_LINE}\r\nConnection: close\r\n\r\n`);
         }
-        this.close(socket, code === HEAD_LATE_CODE ? CloseReason.HeadLate : CloseReason.BadRequest);
+        this.close(socket, connection.closesFor);
     }
 
     private recordClose(socket: Socket, reason: CloseReasonValue): void {
@@ -136,3 +183,13 @@
         }
     }
 }
+
+/** Whether a request of the connection has been read whole and has no complete response. */
+function hasWholeRequest({ unfinished }: Connection): boolean {
+    return [...unfinished].some(response => response.req.complete);
+}
+
+/** Whether the connection ends after the response. */
+function isLast(response: ServerResponse): boolean {
+    return !response.shouldKeepAlive || response.getHeader("connection") === "close";
+}
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -210,8 +210,9 @@
         // Node ends the process on an error event without a listener. The response's close event handles disconnects.
         request.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
         response.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
-        this.connections.addRequest(request, response);
-        this.forwarder.forward(request, response);
+        if (this.connections.addRequest(request, response)) {
+            this.forwarder.forward(request, response);
+        }
     }
 
     private countPermits(wants: PermitWant[], grants: PermitGrant[]): void {
--- a/packages/gateway/src/gatewayStop.feature
+++ b/packages/gateway/src/gatewayStop.feature
@@ -41,3 +41,26 @@
             | repeatable requests     | all  | 502    |
             | non-repeatable requests | all  | 502    |
             | repeatable requests     | half | 503    |
+
+    # Guards against a connection that is closed as idle while a request waits in its socket.
+    Scenario: A request that arrives on an idle connection as it is closed is answered
+        Given a gateway that serves repeatable requests and stops within 8000 ms
+        And a caller that has an answer to its request
+        When the stop begins, and a request arrives after the timers of the turn in which idle connections are closed
+        And the endpoint answers it with 10 bytes
+        Then the caller has an answer with status 200 and 10 bytes
+
+    # Guards against pipelined requests that run and whose answer can't be sent any more.
+    Scenario: A request behind one that ends the connection does not run
+        Given a gateway that serves repeatable requests and stops within 8000 ms
+        When the stop begins, and 100 ms pass
+        And a caller sends two requests at once
+        Then the endpoint has 1 request
+
+    # Guards against connections that close right after an answer which promised to keep them.
+    Scenario: The answer to a request that was in flight at the signal announces the end of its connection
+        Given a gateway that serves repeatable requests and stops within 8000 ms
+        And a caller that has sent all of a request
+        When the stop begins, and 100 ms pass
+        And the endpoint answers it with 10 bytes
+        Then the caller's connection is announced to close
--- a/packages/gateway/src/gatewayStop.steps.ts
+++ b/packages/gateway/src/gatewayStop.steps.ts
@@ -1,7 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { RequestKind, type TrafficRoute } from "@kumquathall/types";
 import { type Clock, type FakeMethod, install } from "@sinonjs/fake-timers";
-import { strictEqual } from "node:assert";
+import { match, strictEqual } from "node:assert";
 import type { CallerSocket } from "./testing/callerSocket.js";
 import { ForwardingHarness } from "./testing/forwardingHarness.js";
 import { sendAnswer } from "./testing/scriptedEndpoint.js";
@@ -112,3 +112,5 @@
     strictEqual(readStatus(), String(status));
     strictEqual(/x*$/.exec(caller.received)?.[0].length, bytes);
 });
+
+Then("the caller's connection is announced to close", () => match(caller.received, /\r\nconnection: close\r\n/i));
--- a/packages/gateway/src/gatewayStop.ts
+++ b/packages/gateway/src/gatewayStop.ts
@@ -23,19 +23,22 @@
     /** Resolves when every response has left the process, or when the plan has no time left. */
     async complete(): Promise<void> {
         const { plan, connections, forwarder } = this.options;
+        connections.announceClose();
         for (;;) {
             const sinceMs = this.getElapsedMs();
             const isOutOfRotation = sinceMs > plan.acceptAllUntilMs;
-            const isComplete = isOutOfRotation && connections.countUnfinished() === 0;
-            if (isComplete || sinceMs >= plan.closeMs) {
-                return;
+            if (isOutOfRotation) {
+                // A caller with an idle connection detects the stop only when the connection closes.
+                connections.closeIdle(CloseReason.Stopping);
             }
+            // Requests that wait at the sockets are read first.
+            await new Promise(resolve => setImmediate(resolve));
             if (sinceMs >= plan.endMs) {
                 forwarder.endAll();
             }
-            if (isOutOfRotation) {
-                // A caller with an idle connection detects the stop only when the connection closes.
-                connections.closeIdle(CloseReason.Stopping);
+            const isComplete = isOutOfRotation && connections.countUnfinished() === 0;
+            if (isComplete || sinceMs >= plan.closeMs) {
+                return;
             }
             await new Promise(resolve => setTimeout(resolve, CHECK_MS));
         }
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -33,6 +33,8 @@
 const HOST = "h.example";
 /** Turns of the event loop in which messages between streams arrive. */
 const TURNS = 6;
+/** Virtual time between two turns in which messages arrive, in milliseconds. */
+const STEP_MS = 50;
 
 /** A gateway's forwarding in virtual time, without a network: callers and endpoints are scripted by the test. */
 export class ForwardingHarness {
@@ -56,8 +58,9 @@
             (_, at) => ScriptedEndpoint.register(this.tracker, SERVICE, `e${at + 1}`),
         );
         this.server = createServer({ requestTimeout: 0 }, (request, response) => {
-            this.connections.addRequest(request, response);
-            this.forwarder.forward(request, response);
+            if (this.connections.addRequest(request, response)) {
+                this.forwarder.forward(request, response);
+            }
         });
         // From then on, Node lists the connections of a server.
         this.server.emit("listening");
@@ -102,6 +105,12 @@
         this.server.close();
     }
 
+    /** Reports that a connection has reached the idle limit, as Node does. */
+    async reportIdle(caller: CallerSocket): Promise<void> {
+        this.server.emit("timeout", caller);
+        await this.settle();
+    }
+
     /** Opens a caller's connection. */
     openConnection(): CallerSocket {
         const caller = new CallerSocket();
@@ -120,8 +129,10 @@
 
     /** Advances the clock and lets everything that becomes due happen. */
     async advance(ms: number): Promise<void> {
-        await this.options.clock.tickAsync(ms);
-        await this.settle();
+        for (let left = ms; left > 0; left -= STEP_MS) {
+            await this.options.clock.tickAsync(Math.min(left, STEP_MS));
+            await this.settle();
+        }
     }
 
     /** Lets messages between streams arrive. */
