--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -107,7 +107,7 @@
 });
 
 Then("{int} streams have gone on at the other endpoint", (count: number) => {
-    const resumed = listOpenAttempts().map(attempt => attempt.request.headers["last-event-id"]);
+    const resumed = listOpenAttempts().map(attempt => attempt.request.headers["after-event"]);
     deepStrictEqual(resumed, Array.from({ length: count }, () => "3"));
 });
 
--- a/packages/gateway/src/testing/plainHeaderCodec.ts
+++ b/packages/gateway/src/testing/plainHeaderCodec.ts
@@ -10,7 +10,7 @@
     override readonly readyPath = "/ready";
 
     override decodeRequest(headers: Map<string, string>): RequestHead {
-        const lastEventId = headers.get("last-event-id");
+        const lastEventId = headers.get("after-event");
         return {
             requestId: headers.get("request-id"),
             deadlineMs: undefined,
@@ -25,7 +25,7 @@
     }
 
     override encodeForwardedRequest(_headers: HeaderField[], values: ForwardHeaderValues): Record<string, string> {
-        return values.lastEventId === undefined ? {} : { "last-event-id": String(values.lastEventId) };
+        return values.lastEventId === undefined ? {} : { "after-event": String(values.lastEventId) };
     }
 
     override decodeResponse(_status: number, headers: Headers): ResponseHead {
--- a/packages/gateway/src/testing/scriptedEndpoint.ts
+++ b/packages/gateway/src/testing/scriptedEndpoint.ts
@@ -49,7 +49,7 @@
             handler,
             isAborted: false,
             hasEnded: false,
-            nextEventId: Number(request.headers["last-event-id"] ?? 0) + 1,
+            nextEventId: Number(request.headers["after-event"] ?? 0) + 1,
         };
         this.attempts.push(attempt);
         return {
@@ -67,7 +67,7 @@
 /** Sends the events of a stream up to `last`, with the head before the first. */
 export function sendEvents(attempt: ScriptedAttempt, last: number): void {
     const { handler, request } = attempt;
-    if (attempt.nextEventId === Number(request.headers["last-event-id"] ?? 0) + 1) {
+    if (attempt.nextEventId === Number(request.headers["after-event"] ?? 0) + 1) {
         handler.onHead(200, STREAM_HEADERS);
     }
     for (; attempt.nextEventId <= last; attempt.nextEventId++) {
