--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -162,7 +162,7 @@
             }
             if (outcome.kind === "noMemory") {
                 refuseRequest(RefusalCause.BodiesFull, route.name);
-                closeUnlessComplete(request, maxBytes);
+                closeUnlessComplete(request, maxBytes, this.options.connections);
                 return;
             }
             if (outcome.kind === "late") {
