--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -26,7 +26,12 @@
 
 /** Members of the control group according to the newest membership entry in the log, committed or not. */
 export function getMembers(state: ConsensusState<unknown>): readonly string[] {
-    for (let at = state.entries.length - 1; at >= 0; at--) {
+    return getMembersAt(state, getLastIndex(state));
+}
+
+/** Members of the control group as of an index that the log holds: according to the newest membership entry up to it. */
+export function getMembersAt(state: ConsensusState<unknown>, index: number): readonly string[] {
+    for (let at = index - state.snapshotIndex - 1; at >= 0; at--) {
         const payload = state.entries[at].payload;
         if (payload.kind === "members") {
             return payload.members;
--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -3,7 +3,7 @@
 import type { LogStore, RecoveredState } from "@kumquathall/storage";
 import type { HardState, LogEntry, LogPayload, Snapshot } from "@kumquathall/types";
 import { canServeRead } from "./lease.js";
-import { getEntries, getLastIndex, getMembers, getTermAt, listHolders } from "./log.js";
+import { getEntries, getLastIndex, getMembers, getMembersAt, getTermAt, listHolders } from "./log.js";
 import { PayloadSizes } from "./payloadSizes.js";
 import {
     type ConsensusEffect,
@@ -395,7 +395,7 @@
     private async takeSnapshot(): Promise<void> {
         const index = this.appliedIndex;
         const term = getTermAt(this.state, index) ?? 0;
-        const members = [...getMembers(this.state)];
+        const members = [...getMembersAt(this.state, index)];
         const data = await this.options.stateMachine.saveSnapshot();
         const snapshot: Snapshot = { index, term, members, data };
         await this.options.store.writeSnapshot(snapshot);
--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -1,6 +1,6 @@
 import type { HardState, LogEntry, LogPayload } from "@kumquathall/types";
 import { computeMajorityContact, hasCommittedInTerm } from "./lease.js";
-import { countMajority, getEntries, getLastIndex, getLastTerm, getMembers, getTermAt } from "./log.js";
+import { countMajority, getEntries, getLastIndex, getLastTerm, getMembers, getMembersAt, getTermAt } from "./log.js";
 import {
     type ConsensusEffect,
     type ConsensusEvent,
@@ -185,8 +185,8 @@
             return;
         }
         const kept = getEntries(this.state, index + 1, getLastIndex(this.state));
-        const removed = { ...this.state, entries: getEntries(this.state, this.state.snapshotIndex + 1, index) };
-        this.update({ snapshotMembers: getMembers(removed), snapshotIndex: index, snapshotTerm: term, entries: kept });
+        const snapshotMembers = getMembersAt(this.state, index);
+        this.update({ snapshotMembers, snapshotIndex: index, snapshotTerm: term, entries: kept });
     }
 
     private isGuardEnabled(guard: string): boolean {
