--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,8 +1,8 @@
 /** Replicated log in the style of Raft: pure transition functions, and a runtime with clock, disk and network. */
+export { ConsensusError, UnknownOutcomeError } from "./errors.js";
 export { canServeRead, computeLeaseEnd } from "./lease.js";
 export { getEntries, getLastIndex, getTermAt } from "./log.js";
 export {
-    ConsensusError,
     ConsensusRuntime,
     type ConsensusRuntimeOptions,
     type ConsensusTransport,
--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -1,10 +1,11 @@
-import { KumquathallError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
 import type { LogStore, RecoveredState } from "@kumquathall/storage";
 import type { HardState, LogEntry, LogPayload, Snapshot } from "@kumquathall/types";
+import { ConsensusError } from "./errors.js";
 import { canServeRead } from "./lease.js";
 import { getEntries, getLastIndex, getMembers, getMembersAt, getTermAt, listHolders } from "./log.js";
 import { PayloadSizes } from "./payloadSizes.js";
+import { ProposalWaiters, type Waiter } from "./proposalWaiters.js";
 import {
     type ConsensusEffect,
     type ConsensusEvent,
@@ -15,17 +16,6 @@
 } from "./state.js";
 import { createConsensusState, stepConsensus } from "./step.js";
 
-/** Thrown when this member is stopping, is not the leader, or lost leadership before the proposal was committed. */
-export class ConsensusError extends KumquathallError {
-    /** The leader to ask instead, if known. */
-    readonly leaderId: string | undefined;
-
-    constructor(message: string, leaderId: string | undefined) {
-        super(message);
-        this.leaderId = leaderId;
-    }
-}
-
 /** Sends messages to other members; may lose, duplicate and reorder them. */
 export interface ConsensusTransport<Payload> {
     send(to: string, message: ConsensusMessage<Payload>): void;
@@ -64,12 +54,6 @@
 /** Most entries kept in the log after a snapshot covers them, so that a slightly lagging member needs no snapshot. */
 const MAX_KEPT_ENTRIES = 1000;
 
-interface Waiter<Result> {
-    term: number;
-    resolve: (results: Result[]) => void;
-    reject: (error: Error) => void;
-}
-
 /** An effect that waits for a disk write, or the start of a log segment after this member took a snapshot. */
 type OutboxItem<Payload> = ConsensusEffect<Payload> | { kind: "startSegment"; snapshot: Snapshot };
 
@@ -85,7 +69,7 @@
     private readonly timing: ConsensusOptions;
     private readonly random: () => number;
     private appliedIndex: number;
-    private readonly waiters = new Map<number, Waiter<Result>>();
+    private readonly waiters = new ProposalWaiters<Result>();
     private proposals: PendingProposal<Payload, Result>[] = [];
     private isProposalScheduled = false;
     private outbox: OutboxItem<Payload>[] = [];
@@ -155,7 +139,10 @@
         this.handle({ kind: "receive", now: performance.now(), random: this.random(), from, message });
     }
 
-    /** Proposes a command; resolves with its result once committed and applied. Rejects with {@link ConsensusError}. */
+    /**
+     * Proposes a command; resolves with its result once committed and applied. Rejects with {@link ConsensusError} if it
+     * was not committed, and with {@link UnknownOutcomeError} if that cannot be known.
+     */
     propose(command: Payload): Promise<Result> {
         return new Promise((resolve, reject) => {
             this.proposals.push({ command, resolve, reject });
@@ -177,7 +164,7 @@
     async close(): Promise<void> {
         this.isClosed = true;
         clearInterval(this.timer);
-        this.refuseWaiters(new ConsensusError("this member is stopping", undefined));
+        this.waiters.refuseAll(new ConsensusError("this member is stopping", undefined));
         await this.options.store.close();
     }
 
@@ -219,7 +206,7 @@
             waiter.reject(new ConsensusError("this member is not the leader", this.state.leaderId));
             return;
         }
-        this.waiters.set(proposed.index, { ...waiter, term: proposed.term });
+        this.waiters.add(proposed.index, { ...waiter, term: proposed.term });
         // `handle` applies nothing for a proposal, so that its waiter is registered before its entry can be applied.
         this.applyCommitted();
     }
@@ -346,7 +333,7 @@
             const commands = entry.payload.kind === "commands" ? entry.payload.commands : [];
             const results = commands.map(command => stateMachine.apply(command, entry.index, entry.term));
             this.appliedIndex = entry.index;
-            this.resolveWaiter(entry, results);
+            this.waiters.resolve(entry, results, this.state.leaderId);
         }
         this.options.onApplied?.();
         this.takeSnapshotIfDue();
@@ -358,29 +345,11 @@
         if (snapshot !== undefined && snapshot.index > this.appliedIndex) {
             this.options.stateMachine.loadSnapshot(snapshot.data);
             this.appliedIndex = snapshot.index;
+            this.waiters.refuseCovered(snapshot.index);
             this.options.onApplied?.();
         }
     }
 
-    private resolveWaiter(entry: LogEntry<Payload>, results: Result[]): void {
-        const waiter = this.waiters.get(entry.index);
-        if (waiter === undefined) {
-            return;
-        }
-        this.waiters.delete(entry.index);
-        if (waiter.term === entry.term) {
-            waiter.resolve(results);
-        }
-        else {
-            waiter.reject(
-                new ConsensusError(
-                    "an entry of another leader replaced this proposal; send it again",
-                    this.state.leaderId,
-                ),
-            );
-        }
-    }
-
     private takeSnapshotIfDue(): void {
         const every = this.options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
         const covered = this.lastSnapshot?.index ?? 0;
@@ -428,11 +397,4 @@
             setImmediate(() => void this.writeOutbox());
         }
     }
-
-    private refuseWaiters(error: Error): void {
-        for (const waiter of this.waiters.values()) {
-            waiter.reject(error);
-        }
-        this.waiters.clear();
-    }
 }
