Read what has arrived before a peer counts as silent

What callers saw: streams that moved or were closed, answers replaced by 504, and gateways that lost control for a moment, after the process itself had stood still: a collection, a busy core, a paused VM.

Cause: the timers of a turn of the event loop run before its sockets are read. After a stall every timeout that has passed expires first, although the events, heartbeats and answers wait in the sockets.

PeerTimer (a package of its own, used by link and gateway) expires one poll later, and after a stall later by its length: what was sent while a VM stood still may have to be sent again by the peer's network. Deadlines are not extended, only read before. It is used for the silence of endpoints, the deadline of requests, the heartbeats of links and the timeouts of calls. Since such a stall no longer looks like the endpoint's silence, the cause process-stalled of incomplete answers is gone; the event stays. A silent link is closed at its timeout instead of at the next tick after it.

--- a/packages/gateway/src/endpointSilence.feature
+++ b/packages/gateway/src/endpointSilence.feature
@@ -38,3 +38,17 @@
         And 1 callers that have received events 1 to 3
         When its endpoint is reported as lost
         Then 1 streams have gone on at the other endpoint
+
+    # Guards against streams that are taken from their endpoints after a stall of the gateway, whose timers run before its sockets are read.
+    Scenario: Events that wait while the gateway stands still keep a stream at its endpoint
+        Given a gateway with 2 endpoints, 1 retry and resumable streams
+        And 2 callers that have received events 1 to 3
+        When the gateway stands still for 3000 ms, and then reads event 4 of each stream
+        Then no request was sent to another endpoint
+
+    # Guards against a timeout in place of an answer that has arrived.
+    Scenario: An answer that waits as the deadline passes is delivered
+        Given a gateway with 1 endpoint, 1 retry and repeatable requests
+        And a caller that has sent a request
+        When the gateway stands still for 9000 ms, and then reads the answers
+        Then each caller has an answer with status 200
--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -81,6 +81,26 @@
 
 When("the endpoints send nothing for {int} ms", (ms: number) => getHarness().advance(ms));
 
+When(
+    "the gateway stands still for {int} ms, and then reads event {int} of each stream",
+    async (ms: number, event: number) => {
+        getHarness().advanceAtOnce(ms);
+        listOpenAttempts().forEach(attempt => sendEvents(attempt, event));
+        await getHarness().settle();
+    },
+);
+
+When("the gateway stands still for {int} ms, and then reads the answers", async (ms: number) => {
+    getHarness().advanceAtOnce(ms);
+    listOpenAttempts().forEach(attempt => sendAnswer(attempt, 200, "answer"));
+    await getHarness().settle();
+});
+
+Then("no request was sent to another endpoint", () => {
+    const sent = getHarness().endpoints.flatMap(endpoint => endpoint.attempts);
+    deepStrictEqual(sent.map(attempt => attempt.request.headers["after-event"]), callers.map(() => undefined));
+});
+
 When("they complete their streams with event {int}", async (last: number) => {
     for (const attempt of listOpenAttempts()) {
         sendEvents(attempt, last);
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,3 +1,4 @@
+import { PeerTimer } from "@kumquathall/peer-timers";
 import { RequestKind, type SuspectRecord } from "@kumquathall/types";
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
@@ -29,8 +30,6 @@
 const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
 /** Interval between searches for an endpoint in place of a silent one, in milliseconds. */
 const REPLACEMENT_CHECK_MS = 250;
-/** Delay of a timer from which the process counts as stalled, in milliseconds. */
-const LATE_TIMER_MS = 100;
 const FIRST_SERVER_ERROR = 500;
 /** Cause of the end of a request with a complete answer of an endpoint. */
 const SERVED = "served";
@@ -57,11 +56,11 @@
     private readonly recorder: RequestRecorder;
     private readonly timing: RequestTiming;
     private readonly retries: RetryAllowance;
-    private readonly deadlineTimer: NodeJS.Timeout;
+    private readonly deadlineTimer: PeerTimer;
     private choiceTimer: NodeJS.Timeout | undefined;
     /** Cancels a wait for permits. */
     private cancelWait: (() => void) | undefined;
-    private stallTimer: NodeJS.Timeout | undefined;
+    private readonly stallTimer: PeerTimer;
 
     constructor(private readonly options: ForwardedRequestOptions) {
         const { head, route, arrivedAt, response } = options;
@@ -80,7 +79,9 @@
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
         this.lastEventId = head.lastEventId;
-        this.deadlineTimer = setTimeout(() => this.handleDeadline(), this.timing.getRemainingMs(performance.now()));
+        this.deadlineTimer = new PeerTimer({ onExpire: () => this.handleDeadline(), allowsForStalls: false });
+        this.deadlineTimer.start(this.timing.getRemainingMs(performance.now()));
+        this.stallTimer = new PeerTimer({ onExpire: () => this.handleSilence() });
         response.on("close", () => this.handleCallerDisconnect());
     }
 
@@ -201,7 +202,7 @@
             loss: undefined,
         };
         this.attempt = attempt;
-        this.restartStallTimer(attempt, this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
+        this.stallTimer.start(this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
         endpoint.inFlight.add(sent);
         attempt.handle = endpoint.pool.send(
             {
@@ -220,15 +221,10 @@
         );
     }
 
-    /** Moves the request to another endpoint once this one has sent nothing for `stallMs`. */
-    private restartStallTimer(attempt: RunningAttempt, stallMs: number): void {
-        clearTimeout(this.stallTimer);
-        const expiresAt = performance.now() + stallMs;
-        this.stallTimer = setTimeout(() => {
-            const hasProcessStalled = performance.now() - expiresAt >= LATE_TIMER_MS;
-            const cause = hasProcessStalled ? IncompleteCause.ProcessStalled : IncompleteCause.EndpointSilent;
-            this.handleStall(attempt, cause);
-        }, stallMs);
+    private handleSilence(): void {
+        if (this.attempt !== undefined) {
+            this.handleStall(this.attempt, IncompleteCause.EndpointSilent);
+        }
     }
 
     /** Moves a request from a silent endpoint if another takes it; otherwise the endpoint may still complete it. */
@@ -238,7 +234,7 @@
         }
         const next = this.takeReplacement(attempt);
         if (next === undefined) {
-            this.restartStallTimer(attempt, REPLACEMENT_CHECK_MS);
+            this.stallTimer.start(REPLACEMENT_CHECK_MS);
             return;
         }
         attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
@@ -307,7 +303,7 @@
         for (const event of attempt.parser.push(chunk)) {
             this.recordFirstContent(attempt);
             this.writeHeadOnce(attempt);
-            this.restartStallTimer(attempt, this.timing.computeStreamIdleTimeoutMs());
+            this.stallTimer.start(this.timing.computeStreamIdleTimeoutMs());
             this.lastEventId = event.id ?? this.lastEventId;
             this.answer.writeEvent(event.bytes);
         }
@@ -483,7 +479,7 @@
         this.attempt = undefined;
         this.lastDataAt = attempt.lastDataAt;
         attempt.answer.close();
-        clearTimeout(this.stallTimer);
+        this.stallTimer.stop();
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
             attempt.endpoint.endedSinceReport++;
         }
@@ -533,9 +529,9 @@
 
     private finish(status: number, cause: string, effect: () => void): void {
         this.isFinished = true;
-        clearTimeout(this.deadlineTimer);
+        this.deadlineTimer.stop();
         this.stopWaiting();
-        clearTimeout(this.stallTimer);
+        this.stallTimer.stop();
         effect();
         const isServed = cause === SERVED;
         this.recorder.recordEnd({
--- a/packages/gateway/src/incompleteCause.ts
+++ b/packages/gateway/src/incompleteCause.ts
@@ -8,8 +8,6 @@
     CallerBehind: "caller-behind",
     /** The endpoint sent nothing for longer than is usual. */
     EndpointSilent: "endpoint-silent",
-    /** The endpoint sent nothing for longer than is usual, but this process ran nothing for some of that time. */
-    ProcessStalled: "process-stalled",
     /** The endpoint's response ended too soon or can't be used. */
     EndpointBroke: "endpoint-broke",
     /** Control reported that the endpoint or its group is lost. */
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -19,6 +19,8 @@
 /** Fake timers and clocks; immediates must be real, so that they run after the I/O of their turn. */
 export interface VirtualClock {
     tickAsync(ms: number): Promise<unknown>;
+    /** Advances the clock at once; the timers that become due run late. */
+    jump(ms: number): unknown;
 }
 
 export interface ForwardingHarnessOptions {
@@ -135,6 +137,11 @@
         }
     }
 
+    /** Stands still: the clock advances, and the timers that become due run before any input. */
+    advanceAtOnce(ms: number): void {
+        this.options.clock.jump(ms);
+    }
+
     /** Lets messages between streams arrive. */
     async settle(): Promise<void> {
         for (let turn = 0; turn < TURNS; turn++) {
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -1,4 +1,5 @@
 import { describeError, KumquathallError } from "@kumquathall/errors";
+import { PeerTimer } from "@kumquathall/peer-timers";
 import type { Socket } from "node:net";
 import { encodeFrame, FrameDecoder, FrameError } from "./frame.js";
 
@@ -61,7 +62,7 @@
 interface PendingCall {
     resolve: (message: unknown) => void;
     reject: (error: Error) => void;
-    timer: NodeJS.Timeout;
+    timer: PeerTimer;
 }
 
 /** Connection to a peer, with its heartbeats and pending calls. */
@@ -71,7 +72,6 @@
     private readonly decoder = new FrameDecoder();
     private readonly pendingCalls = new Map<number, PendingCall>();
     private nextCallId = 1;
-    private lastReceivedAt = performance.now();
     private lastSentAt = 0;
     private isClosed = false;
     private sentBytes = 0;
@@ -79,13 +79,16 @@
     private outgoing: Buffer[] = [];
     private isFlushScheduled = false;
     private readonly heartbeatTimer: NodeJS.Timeout;
+    private readonly silenceTimer: PeerTimer;
 
     constructor(private readonly socket: Socket, private readonly options: LinkOptions) {
         socket.setNoDelay(true);
         socket.on("data", data => this.handleData(data));
         socket.on("error", error => this.close(error.message));
         socket.on("close", () => this.close("closed by peer"));
-        this.heartbeatTimer = setInterval(() => this.checkHeartbeat(), this.getHeartbeatIntervalMs());
+        this.heartbeatTimer = setInterval(() => this.sendHeartbeat(), this.getHeartbeatIntervalMs());
+        this.silenceTimer = new PeerTimer({ onExpire: () => this.close("heartbeat timeout") });
+        this.silenceTimer.start(this.getHeartbeatTimeoutMs());
         this.sendFrame({ t: "hello", identity: options.identity });
     }
 
@@ -126,10 +129,13 @@
         }
         const id = this.nextCallId++;
         return new Promise((resolve, reject) => {
-            const timer = setTimeout(() => {
-                this.pendingCalls.delete(id);
-                reject(new LinkError(`call timed out after ${timeoutMs} ms`));
-            }, timeoutMs);
+            const timer = new PeerTimer({
+                onExpire: () => {
+                    this.pendingCalls.delete(id);
+                    reject(new LinkError(`call timed out after ${timeoutMs} ms`));
+                },
+            });
+            timer.start(timeoutMs);
             this.pendingCalls.set(id, { resolve, reject, timer });
             try {
                 this.sendFrame({ t: "call", id, m: message });
@@ -148,22 +154,17 @@
         this.flush();
         this.isClosed = true;
         clearInterval(this.heartbeatTimer);
+        this.silenceTimer.stop();
         this.socket.destroy();
         for (const call of this.pendingCalls.values()) {
-            clearTimeout(call.timer);
+            call.timer.stop();
             call.reject(new LinkError(`the link was closed: ${reason}`));
         }
         this.pendingCalls.clear();
         this.options.handlers.onClose?.(this, reason);
     }
 
-    private checkHeartbeat(): void {
-        if (
-            performance.now() - this.lastReceivedAt > (this.options.heartbeatTimeoutMs ?? DEFAULT_HEARTBEAT_TIMEOUT_MS)
-        ) {
-            this.close("heartbeat timeout");
-            return;
-        }
+    private sendHeartbeat(): void {
         // Any recently sent frame serves as a heartbeat.
         if (performance.now() - this.lastSentAt >= this.getHeartbeatIntervalMs() / 2) {
             this.sendFrame({ t: "ping" });
@@ -174,6 +175,10 @@
         return this.options.heartbeatIntervalMs ?? DEFAULT_HEARTBEAT_INTERVAL_MS;
     }
 
+    private getHeartbeatTimeoutMs(): number {
+        return this.options.heartbeatTimeoutMs ?? DEFAULT_HEARTBEAT_TIMEOUT_MS;
+    }
+
     private sendFrame(frame: LinkFrame): void {
         this.sendData(encodeFrame(frame));
     }
@@ -205,7 +210,7 @@
     }
 
     private handleData(data: Buffer): void {
-        this.lastReceivedAt = performance.now();
+        this.silenceTimer.start(this.getHeartbeatTimeoutMs());
         this.receivedBytes += data.length;
         let frames: unknown[];
         try {
@@ -278,7 +283,7 @@
         const call = this.pendingCalls.get(id);
         if (call !== undefined) {
             this.pendingCalls.delete(id);
-            clearTimeout(call.timer);
+            call.timer.stop();
         }
         return call;
     }
--- /dev/null
+++ b/packages/peer-timers/src/index.ts
@@ -0,0 +1,2 @@
+/** Timers for what a peer must send in time. */
+export { PeerTimer, type PeerTimerOptions } from "./peerTimer.js";
