Continue a stream only with its own next events

Cause: any answer with status 200 on a streaming route was forwarded as the rest of the stream, whatever its type and the ids of its events. An answer without a length that ended before its first event counted as complete, since the request had a last event; so did an empty body. A stream without ids was begun anew in the middle of itself.

A continuation must now have the media type of the response that it continues, and each of its events an id above the last one forwarded; comments need none. Anything else counts as a broken attempt: the next endpoint, or a closed connection. A stream with an event without an increasing id is not sent again. An answer with Not-Run and status 200 is never forwarded as a stream. An answer with another status counted twice towards the route's bound on endpoints, and counts once now.

--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -43,7 +43,7 @@
     return Array.from({ length: EVENTS }, (_, at) => formatEvent(at + 1)).join("");
 }
 
-After({ tags: "@endpoint-silence" }, () => {
+After({ tags: "@endpoint-silence or @stream-continuation" }, () => {
     harness?.close();
     harness = undefined;
     clock?.uninstall();
@@ -134,3 +134,8 @@
 Then("each caller has an answer with status {int}", (status: number) => {
     callers.forEach(caller => strictEqual(/^HTTP\/1\.1 (\d+)/.exec(caller.received)?.[1], String(status)));
 });
+
+/** The scenario under way, for the steps of other files. */
+export function getSilenceScenario() {
+    return { harness: getHarness(), callers, sendRequests, listOpenAttempts };
+}
--- a/packages/gateway/src/eventStreamParser.ts
+++ b/packages/gateway/src/eventStreamParser.ts
@@ -1,10 +1,14 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Lines without which a block is no event: comments, and the time after which to connect again. */
+const COMMENT_PATTERN = /^(?:(?::|retry:)[^\n]*)?\r?$/;
 const ID_PATTERN = /^id:\s*(\d+)\s*$/m;
 
 /** One complete event of a stream, with its bytes unchanged. */
 export interface StreamEvent {
     id: number | undefined;
+    /** It carries nothing that belongs to the stream's content. */
+    isComment: boolean;
     bytes: Buffer;
 }
 
@@ -34,8 +38,13 @@
 }
 
 function decodeEvent(bytes: Buffer): StreamEvent {
-    const id = ID_PATTERN.exec(bytes.toString("latin1"))?.[1];
-    return { id: id === undefined ? undefined : Number(id), bytes };
+    const text = bytes.toString("latin1");
+    const id = ID_PATTERN.exec(text)?.[1];
+    return {
+        id: id === undefined ? undefined : Number(id),
+        isComment: id === undefined && text.split("\n").every(line => COMMENT_PATTERN.test(line)),
+        bytes,
+    };
 }
 
 /** Finds the offset after the empty line that ends an event. */
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -15,7 +15,7 @@
 import { RequestSubjects } from "./requestSubjects.js";
 import { RequestTiming } from "./requestTiming.js";
 import { MIN_ATTEMPT_MS, RetryAllowance } from "./retryAllowance.js";
-import { hasFraming, recordNotices, type RunningAttempt, STATUS_MISDIRECTED } from "./runningAttempt.js";
+import { hasFraming, readMediaType, recordNotices, type RunningAttempt, STATUS_MISDIRECTED } from "./runningAttempt.js";
 
 /** Interval between choices of an endpoint while none is available to continue a stream, in milliseconds. */
 const CHOICE_RETRY_MS = 20;
@@ -44,6 +44,8 @@
     private sends = 0;
     private isFinished = false;
     private lastEventId: number | undefined;
+    /** Media type of the stream that has begun. */
+    private mediaType: string | undefined;
     private readonly chooser: EndpointChooser;
     /** The latest choice of an endpoint. */
     private choice: EndpointChoice | undefined;
@@ -193,6 +195,7 @@
             endpoint,
             sent,
             parser: new EventStreamParser(),
+            isContinuation: this.answer.hasBegun(),
             responseHead: undefined,
             status: 0,
             headers: {},
@@ -285,6 +288,9 @@
             return;
         }
         recordNotices(attempt, responseHead, this.options);
+        if (attempt.isContinuation && this.isStream(attempt) && readMediaType(headers) !== this.mediaType) {
+            this.abandon(attempt, "the response that continues the stream has another type");
+        }
     }
 
     private handleData(attempt: RunningAttempt, chunk: Buffer): void {
@@ -301,9 +307,17 @@
             return;
         }
         for (const event of attempt.parser.push(chunk)) {
+            const isNext = event.id !== undefined && event.id > (this.lastEventId ?? Number.NEGATIVE_INFINITY);
+            if (attempt.isContinuation && !event.isComment && !isNext) {
+                this.abandon(attempt, `an event does not continue the stream after event ${this.lastEventId}`);
+                return;
+            }
             this.recordFirstContent(attempt);
             this.writeHeadOnce(attempt);
             this.stallTimer.start(this.timing.computeStreamIdleTimeoutMs());
+            if (!isNext && !event.isComment) {
+                this.retries.recordUnidentifiedEvent();
+            }
             this.lastEventId = event.id ?? this.lastEventId;
             this.answer.writeEvent(event.bytes);
         }
@@ -337,8 +351,7 @@
                 this.handleIncompleteResponse(attempt, "the stream ends inside an event");
                 return;
             }
-            const hasContent = attempt.sent.firstContentAt !== undefined || this.lastEventId !== undefined;
-            if (!hasContent && !hasFraming(attempt.headers)) {
+            if (attempt.sent.firstContentAt === undefined && !hasFraming(attempt.headers)) {
                 this.handleIncompleteResponse(attempt, "the stream ended before its first event");
                 return;
             }
@@ -348,18 +361,18 @@
             this.finish(attempt.status, SERVED, () => this.answer.endStream());
             return;
         }
+        if (this.answer.hasBegun()) {
+            this.handleIncompleteResponse(attempt, `the stream could not be continued (status ${attempt.status})`);
+            return;
+        }
         this.retries.recordRun(false);
         attempt.endpoint.health.record(attempt.status >= FIRST_SERVER_ERROR, performance.now());
         this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
-        if (attempt.status >= FIRST_SERVER_ERROR && !this.answer.hasBegun() && this.retries.takeRetry()) {
+        if (attempt.status >= FIRST_SERVER_ERROR && this.retries.takeRetry()) {
             this.recorder.recordAttempt(attempt, "endpoint-error", this.lastEventId);
             this.sendNext();
             return;
         }
-        if (this.answer.hasBegun()) {
-            this.handleIncompleteResponse(attempt, `the stream could not be continued (status ${attempt.status})`);
-            return;
-        }
         this.deliverResponse(attempt);
     }
 
@@ -455,7 +468,8 @@
     }
 
     private isStream(attempt: RunningAttempt): boolean {
-        return this.options.route.kind === RequestKind.Streaming && attempt.status === 200;
+        return this.options.route.kind === RequestKind.Streaming && attempt.status === 200
+            && attempt.responseHead?.isNotRun !== true;
     }
 
     private writeHeadOnce(attempt: RunningAttempt): void {
@@ -467,6 +481,7 @@
             const predictedMs = (this.choice?.predictedMs ?? 0) - bias.get(head.model);
             bias.record(head.model, predictedMs, performance.now() - attempt.sent.sentAt);
         }
+        this.mediaType = readMediaType(attempt.headers);
         this.answer.writeHead(attempt.status, attempt.headers);
     }
 
--- a/packages/gateway/src/retryAllowance.ts
+++ b/packages/gateway/src/retryAllowance.ts
@@ -6,6 +6,8 @@
 export const NoRetry = {
     /** It may run only once. */
     NotRepeatable: "not-repeatable",
+    /** The caller has events of its stream after which no endpoint can go on. */
+    NotResumable: "not-resumable",
     /** As many endpoints as the route allows may have run it, or too many were lost. */
     Endpoints: "endpoints",
     /** Too many endpoints have rejected it. */
@@ -38,6 +40,7 @@
     private usedEndpoints = 0;
     private lostEndpoints = 0;
     private rejections = 0;
+    private canResume = true;
     /** Why the latest retry was not granted. */
     private refusal: NoRetryValue | undefined;
 
@@ -58,6 +61,11 @@
         return this.decide(this.findObstacle({ isEndpointLost }));
     }
 
+    /** Records that the caller has an event after which the stream can't be resumed. */
+    recordUnidentifiedEvent(): void {
+        this.canResume = false;
+    }
+
     /** Counts an attempt that may have run. Lost endpoints do not count towards the route's limit. */
     recordRun(isEndpointLost: boolean): void {
         this.mayHaveRun = true;
@@ -87,6 +95,9 @@
         if (!this.isRepeatable()) {
             return NoRetry.NotRepeatable;
         }
+        if (!this.canResume) {
+            return NoRetry.NotResumable;
+        }
         const used = this.usedEndpoints + (running?.isEndpointLost === false ? 1 : 0);
         const lost = this.lostEndpoints + (running?.isEndpointLost === true ? 1 : 0);
         if (used >= route.maxEndpoints || lost >= MAX_LOST_ENDPOINTS) {
--- a/packages/gateway/src/runningAttempt.ts
+++ b/packages/gateway/src/runningAttempt.ts
@@ -11,6 +11,8 @@
     sent: SentRequest;
     handle: Attempt;
     parser: EventStreamParser;
+    /** Whether it goes on with a stream of which the caller has the first events. */
+    isContinuation: boolean;
     responseHead: ResponseHead | undefined;
     status: number;
     headers: Record<string, string | string[] | undefined>;
@@ -24,6 +26,12 @@
 /** Status of an endpoint that another incarnation has replaced. */
 export const STATUS_MISDIRECTED = 421;
 
+/** Reads the media type of a response, without its parameters. */
+export function readMediaType(headers: RunningAttempt["headers"]): string | undefined {
+    const type = headers["content-type"];
+    return typeof type === "string" ? type.split(";")[0].trim().toLowerCase() : undefined;
+}
+
 /** Whether a response says where it ends; otherwise it ends with its connection. */
 export function hasFraming(headers: RunningAttempt["headers"]): boolean {
     return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
--- a/packages/gateway/src/testing/callerSocket.ts
+++ b/packages/gateway/src/testing/callerSocket.ts
@@ -35,15 +35,13 @@
         }
     }
 
-    /** The body of the latest response, without the framing of its chunks. */
+    /** The body of the only response, without the framing of its chunks. */
     getStream(): string {
-        const body = this.received.slice(this.received.lastIndexOf("HTTP/1.1 ")).split("\r\n\r\n").slice(1).join(
-            "\r\n\r\n",
-        );
+        const body = this.received.split("\r\n\r\n").slice(1).join("\r\n\r\n");
         return body.replaceAll(/(?:^|\r\n)[0-9a-f]+\r\n/g, "").replace(/\r\n$/, "");
     }
 
-    /** Whether the latest response has its last chunk. */
+    /** Whether the response has its last chunk. */
     hasWholeStream(): boolean {
         return this.received.endsWith("\r\n0\r\n\r\n");
     }
