--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,3 +1,4 @@
+import { PeerTimer } from "@kumquathall/peer-timers";
 import { RequestKind, type SuspectRecord } from "@kumquathall/types";
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
@@ -15,7 +16,7 @@
 import { RequestSubjects } from "./requestSubjects.js";
 import { RequestTiming } from "./requestTiming.js";
 import { MIN_ATTEMPT_MS, RetryAllowance } from "./retryAllowance.js";
-import { hasFraming, recordNotices, type RunningAttempt, STATUS_MISDIRECTED } from "./runningAttempt.js";
+import { hasFraming, readMediaType, recordNotices, type RunningAttempt, STATUS_MISDIRECTED } from "./runningAttempt.js";
 
 /** Interval between choices of an endpoint while none is available to continue a stream, in milliseconds. */
 const CHOICE_RETRY_MS = 20;
@@ -27,8 +28,6 @@
 const LATE_PRIORITY = 8;
 /** Interval between searches for an endpoint in place of a silent one, in milliseconds. */
 const REPLACEMENT_CHECK_MS = 250;
-/** Delay of a timer from which the process counts as stalled, in milliseconds. */
-const LATE_TIMER_MS = 100;
 const FIRST_SERVER_ERROR = 500;
 /** Cause of the end of a request with a complete answer of an endpoint. */
 const SERVED = "served";
@@ -43,6 +42,8 @@
     private sends = 0;
     private isFinished = false;
     private lastEventId: number | undefined;
+    /** Media type of the stream that has begun. */
+    private mediaType: string | undefined;
     private readonly chooser: EndpointChooser;
     /** The latest choice of an endpoint. */
     private choice: EndpointChoice | undefined;
@@ -55,11 +56,11 @@
     private readonly recorder: RequestRecorder;
     private readonly timing: RequestTiming;
     private readonly retries: RetryAllowance;
-    private readonly deadlineTimer: NodeJS.Timeout;
+    private readonly deadlineTimer: PeerTimer;
     private choiceTimer: NodeJS.Timeout | undefined;
     /** Cancels a wait for permits. */
     private cancelWait: (() => void) | undefined;
-    private stallTimer: NodeJS.Timeout | undefined;
+    private readonly stallTimer: PeerTimer;
 
     constructor(private readonly options: ForwardedRequestOptions) {
         const { head, route, arrivedAt, response } = options;
@@ -78,7 +79,9 @@
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
         this.lastEventId = head.lastEventId;
-        this.deadlineTimer = setTimeout(() => this.handleDeadline(), this.timing.getRemainingMs(performance.now()));
+        this.deadlineTimer = new PeerTimer({ onExpire: () => this.handleDeadline(), allowsForStalls: false });
+        this.deadlineTimer.start(this.timing.getRemainingMs(performance.now()));
+        this.stallTimer = new PeerTimer({ onExpire: () => this.handleSilence() });
         response.on("close", () => this.handleCallerDisconnect());
     }
 
@@ -196,6 +199,7 @@
             endpoint,
             sent,
             parser: new EventStreamParser(this.options.answerBytes),
+            isContinuation: this.answer.hasBegun(),
             responseHead: undefined,
             status: 0,
             headers: {},
@@ -205,7 +209,7 @@
             loss: undefined,
         };
         this.attempt = attempt;
-        this.restartStallTimer(attempt, this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
+        this.stallTimer.start(this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
         endpoint.inFlight.add(sent);
         this.options.invalidResponses.watch(endpoint);
         attempt.handle = endpoint.pool.send(
@@ -225,15 +229,10 @@
         );
     }
 
-    /** Moves the request to another endpoint once this one has sent nothing for `stallMs`. */
-    private restartStallTimer(attempt: RunningAttempt, stallMs: number): void {
-        clearTimeout(this.stallTimer);
-        const expiresAt = performance.now() + stallMs;
-        this.stallTimer = setTimeout(() => {
-            const hasProcessStalled = performance.now() - expiresAt >= LATE_TIMER_MS;
-            const cause = hasProcessStalled ? IncompleteCause.ProcessStalled : IncompleteCause.EndpointSilent;
-            this.handleStall(attempt, cause);
-        }, stallMs);
+    private handleSilence(): void {
+        if (this.attempt !== undefined) {
+            this.handleStall(this.attempt, IncompleteCause.EndpointSilent);
+        }
     }
 
     /** Moves a request from a silent endpoint if another takes it; otherwise the endpoint may still complete it. */
@@ -243,7 +242,7 @@
         }
         const next = this.takeReplacement(attempt);
         if (next === undefined) {
-            this.restartStallTimer(attempt, REPLACEMENT_CHECK_MS);
+            this.stallTimer.start(REPLACEMENT_CHECK_MS);
             return;
         }
         attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
@@ -299,6 +298,9 @@
             return;
         }
         recordNotices(attempt, responseHead, this.options);
+        if (attempt.isContinuation && this.isStream(attempt) && readMediaType(headers) !== this.mediaType) {
+            this.abandon(attempt, "the response that continues the stream has another type");
+        }
     }
 
     private handleData(attempt: RunningAttempt, chunk: Buffer): void {
@@ -317,9 +319,17 @@
         }
         let isBehind = false;
         for (const event of attempt.parser.push(chunk)) {
+            const isNext = event.id !== undefined && event.id > (this.lastEventId ?? Number.NEGATIVE_INFINITY);
+            if (attempt.isContinuation && !event.isComment && !isNext) {
+                this.abandon(attempt, `an event does not continue the stream after event ${this.lastEventId}`);
+                return;
+            }
             this.recordFirstContent(attempt);
             this.writeHeadOnce(attempt);
-            this.restartStallTimer(attempt, this.timing.computeStreamIdleTimeoutMs());
+            this.stallTimer.start(this.timing.computeStreamIdleTimeoutMs());
+            if (!isNext && !event.isComment) {
+                this.retries.recordUnidentifiedEvent();
+            }
             this.lastEventId = event.id ?? this.lastEventId;
             isBehind = !this.answer.writeEvent(event.bytes);
             if (isBehind) {
@@ -362,8 +372,7 @@
                 this.handleIncompleteResponse(attempt, "the stream ends inside an event");
                 return;
             }
-            const hasContent = attempt.sent.firstContentAt !== undefined || this.lastEventId !== undefined;
-            if (!hasContent && !hasFraming(attempt.headers)) {
+            if (attempt.sent.firstContentAt === undefined && !hasFraming(attempt.headers)) {
                 this.handleIncompleteResponse(attempt, "the stream ended before its first event");
                 return;
             }
@@ -373,18 +382,18 @@
             this.finish(attempt.status, SERVED, () => this.answer.endStream());
             return;
         }
+        if (this.answer.hasBegun()) {
+            this.handleIncompleteResponse(attempt, `the stream could not be continued (status ${attempt.status})`);
+            return;
+        }
         this.retries.recordRun(false);
         attempt.endpoint.health.record(attempt.status >= FIRST_SERVER_ERROR, performance.now());
         this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
-        if (attempt.status >= FIRST_SERVER_ERROR && !this.answer.hasBegun() && this.retries.takeRetry()) {
+        if (attempt.status >= FIRST_SERVER_ERROR && this.retries.takeRetry()) {
             this.recorder.recordAttempt(attempt, "endpoint-error", this.lastEventId);
             this.sendNext();
             return;
         }
-        if (this.answer.hasBegun()) {
-            this.handleIncompleteResponse(attempt, `the stream could not be continued (status ${attempt.status})`);
-            return;
-        }
         this.deliverResponse(attempt, body);
     }
 
@@ -483,7 +492,8 @@
     }
 
     private isStream(attempt: RunningAttempt): boolean {
-        return this.options.route.kind === RequestKind.Streaming && attempt.status === 200;
+        return this.options.route.kind === RequestKind.Streaming && attempt.status === 200
+            && attempt.responseHead?.isNotRun !== true;
     }
 
     private writeHeadOnce(attempt: RunningAttempt): void {
@@ -495,6 +505,7 @@
             const predictedMs = (this.choice?.predictedMs ?? 0) - bias.get(head.model);
             bias.record(head.model, predictedMs, performance.now() - attempt.sent.sentAt);
         }
+        this.mediaType = readMediaType(attempt.headers);
         this.answer.writeHead(attempt.status, attempt.headers);
     }
 
@@ -507,7 +518,7 @@
         this.lastDataAt = attempt.lastDataAt;
         attempt.answer.close();
         attempt.parser.close();
-        clearTimeout(this.stallTimer);
+        this.stallTimer.stop();
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
             attempt.endpoint.endedSinceReport++;
         }
@@ -557,9 +568,9 @@
 
     private finish(status: number, cause: string, effect: () => void): void {
         this.isFinished = true;
-        clearTimeout(this.deadlineTimer);
+        this.deadlineTimer.stop();
         this.stopWaiting();
-        clearTimeout(this.stallTimer);
+        this.stallTimer.stop();
         effect();
         const isServed = cause === SERVED;
         this.recorder.recordEnd({
