Believe an announcement of an address in use only if its writer goes on

Cause: the incarnation with the newest start at an address counted as the one there, by that single heartbeat, for as long as it was remembered; all others were lost, and what they ran was given up. For an engine it also broke up its group. The class: an entry of another writer is taken for the loss of a sound endpoint.

Now an endpoint that its sidecar reaches keeps its address until the sidecar reports another incarnation or falls silent for 3 s, and any other one gets it back once its heartbeats outlive the announcement by 3 s. Meanwhile it gets nothing new, and what it runs completes. Real replacements go on sending heartbeats, so they are found as before.

Open: an entry with the id of a sound endpoint and a later start still replaces it at another address, and a gateway does not forget ids that no longer send heartbeats.

--- a/packages/control/src/membership.steps.ts
+++ b/packages/control/src/membership.steps.ts
@@ -55,6 +55,7 @@
             bornMs: 1,
             isLeaving: false,
             isLost: false,
+            isLossAnnounced: false,
             hasProcessEnded: false,
             engine: undefined,
             lastSeenAt: now,
--- a/packages/endpoint-registry/src/endpointRegistry.feature
+++ b/packages/endpoint-registry/src/endpointRegistry.feature
@@ -43,6 +43,30 @@
         Then the endpoints are "c"
         And endpoint "c" is alive
 
+    # Guards against one entry of another writer that takes a sound endpoint out of use for as long as it is remembered.
+    Scenario: An endpoint whose heartbeats outlive the announcement of its address by another is alive
+        Given endpoint "a" started at 100 sends a heartbeat from "h:1" with sequence 1
+        And endpoint "b" started at 200 sends a heartbeat from "h:1" with sequence 1
+        Then endpoint "a" is lost
+        When endpoint "a" started at 100 goes on with its heartbeats from "h:1" for 4000 ms
+        Then endpoint "a" is alive
+
+    Scenario: An endpoint whose address another one uses stays lost
+        Given endpoint "a" started at 100 sends a heartbeat from "h:1" with sequence 1
+        And endpoint "b" started at 200 sends a heartbeat from "h:1" with sequence 1
+        When endpoint "b" started at 200 goes on with its heartbeats from "h:1" for 4000 ms
+        And a heartbeat of endpoint "a" started at 100 from "h:1" arrives 4000 ms late
+        Then endpoint "a" is lost
+
+    # Guards against one entry that dissolves a group that serves.
+    Scenario: An endpoint that its sidecar reaches does not lose its address to an announcement
+        Given endpoint "a" started at 100 sends a heartbeat from "h:1" with sequence 1
+        When the sidecar of "h:1" reaches incarnation 100
+        And endpoint "b" started at 200 sends a heartbeat from "h:1" with sequence 1
+        Then endpoint "a" is alive
+        When the sidecar of "h:1" reaches incarnation 200
+        Then endpoint "a" is lost
+
     Scenario: Facts produce the same endpoints in any order of arrival
         Given 60 random facts for each of 30 seeds
         Then every order of arrival produces the same endpoints
--- a/packages/endpoint-registry/src/endpointRegistry.steps.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.steps.ts
@@ -4,6 +4,7 @@
 import { EndpointRegistry, type EndpointView } from "./endpointRegistry.js";
 
 const EXPIRE_AFTER_MS = 1000;
+const HEARTBEAT_MS = 1000;
 /** Start of a sidecar that has started again. */
 const RESTARTED_OBSERVER_MS = 2;
 
@@ -90,6 +91,22 @@
     },
 );
 
+When(
+    "endpoint {string} started at {int} goes on with its heartbeats from {string} for {int} ms",
+    (id: string, bornMs: number, address: string, durationMs: number) => {
+        for (let now = HEARTBEAT_MS; now <= durationMs; now += HEARTBEAT_MS) {
+            getRegistry().record(buildHeartbeat(id, bornMs, address, 1 + now, false), now);
+        }
+    },
+);
+
+When(
+    "a heartbeat of endpoint {string} started at {int} from {string} arrives {int} ms late",
+    (id: string, bornMs: number, address: string, lateMs: number) => {
+        getRegistry().record(buildHeartbeat(id, bornMs, address, 2, false), lateMs);
+    },
+);
+
 Given("endpoint {string} started at {int} departs", (id: string, bornMs: number) => {
     getRegistry().record({ kind: "departure", id, bornMs }, 0);
 });
--- a/packages/endpoint-registry/src/endpointRegistry.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.ts
@@ -38,6 +38,8 @@
     isLeaving: boolean;
     /** The sidecar does not reach the endpoint, or a newer incarnation uses its address. */
     isLost: boolean;
+    /** It counts as lost only because another incarnation announces its address. Requests that it runs may complete. */
+    isLossAnnounced: boolean;
     /** The sidecar beside the endpoint has run on while the endpoint's process ended, so that the VM was not lost. */
     hasProcessEnded: boolean;
     /** Engine state from the sidecar's newest observation if there is one, otherwise from the newest heartbeat. */
@@ -66,6 +68,11 @@
 
 /** A sidecar sends an observation at least every second. */
 const DEFAULT_OBSERVER_TIMEOUT_MS = 3000;
+/**
+ * An announcement of an address that is in use is believed unless the incarnation there outlives it for this long, in
+ * milliseconds: a few heartbeats.
+ */
+const TAKE_OVER_MS = 3000;
 
 /** Stores the newest fact of each kind per endpoint. Times are monotonic milliseconds of the local process. */
 export class EndpointRegistry {
@@ -159,11 +166,13 @@
         // Heartbeats of departed incarnations are recorded too, because they show that older incarnations at the
         // address are lost. Leaving is final for an incarnation: a heartbeat with `isLeaving` false does not revoke it.
         const isLeaving = fact.isLeaving || (known?.bornMs === fact.bornMs && known.isLeaving);
+        const wasTaken = this.isAddressTaken(fact.id);
         this.heartbeats.set(fact.id, { fact: { ...fact, isLeaving }, at: now });
         if (known?.bornMs !== fact.bornMs || known.address !== fact.address) {
             this.newestIds = undefined;
         }
-        if (known === undefined || !isSameAnnouncement(known, { ...fact, isLeaving })) {
+        const isTakenChanged = this.isAddressTaken(fact.id) !== wasTaken;
+        if (known === undefined || isTakenChanged || !isSameAnnouncement(known, { ...fact, isLeaving })) {
             return FactEffect.State;
         }
         // Once a sidecar has observed the engine, its state is known from there.
@@ -200,7 +209,10 @@
             lastGroupName: findJoinedGroup(fact) ?? previousGroupName,
             former: findFormerIncarnation(previous, fact),
         });
-        return compareObservations(known, fact);
+        // The announced incarnation and the observed one differ: which of them holds the address may change with time.
+        const announced = this.heartbeats.get(this.getNewestIds().get(fact.address) ?? "")?.fact;
+        const isDisputed = announced !== undefined && announced.bornMs !== fact.bornMs;
+        return isDisputed ? FactEffect.State : compareObservations(known, fact);
     }
 
     private hasDeparted(fact: HeartbeatFact): boolean {
@@ -208,6 +220,22 @@
         return departure !== undefined && departure.fact.bornMs >= fact.bornMs;
     }
 
+    /**
+     * Whether another incarnation holds the address of the one that an id has announced. That one holds it while a sidecar
+     * observes it there, or if its heartbeats outlive those of the other: one announcement proves nothing.
+     */
+    private isAddressTaken(id: string): boolean {
+        const item = this.heartbeats.get(id);
+        const newestId = item === undefined ? undefined : this.getNewestIds().get(item.fact.address);
+        const newest = newestId === undefined ? undefined : this.heartbeats.get(newestId);
+        if (item === undefined || newest === undefined || newestId === id) {
+            return false;
+        }
+        const observation = this.observations.get(item.fact.address);
+        const isObservedAlive = observation?.fact.bornMs === item.fact.bornMs && observation.fact.isReachable;
+        return isObservedAlive ? newest.at > observation.at + TAKE_OVER_MS : item.at <= newest.at + TAKE_OVER_MS;
+    }
+
     /** Finds the newest incarnation at each address. Addresses are reused, and older incarnations there are lost. */
     private getNewestIds(): Map<string, string> {
         if (this.newestIds !== undefined) {
@@ -230,7 +258,7 @@
      */
     private buildView(item: Timed<HeartbeatFact>): EndpointView {
         const { fact, at } = item;
-        const isAddressTaken = this.getNewestIds().get(fact.address) !== fact.id;
+        const isAddressTaken = this.isAddressTaken(fact.id);
         const observation = this.observations.get(fact.address);
         const isSameIncarnation = observation?.fact.bornMs === fact.bornMs;
         const isObservedAlive = observation !== undefined && isSameIncarnation && observation.fact.isReachable;
@@ -248,6 +276,7 @@
             bornMs: fact.bornMs,
             isLeaving: fact.isLeaving || this.hasDeparted(fact),
             isLost: isAddressTaken || isReplaced || isUnreachable,
+            isLossAnnounced: isAddressTaken && !isReplaced && !isUnreachable,
             hasProcessEnded: isUnreachable || (isReplaced && isSameObserver),
             engine: isSameIncarnation && observation.fact.engine !== undefined ? observation.fact.engine : fact.engine,
             lastSeenAt: Math.max(at, isObservedAlive ? observation.at : 0),
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -174,6 +174,7 @@
                 bornMs: this.now,
                 isLeaving: false,
                 isLost: false,
+                isLossAnnounced: false,
                 hasProcessEnded: false,
                 isObserved: true,
                 lastGroupName: undefined,
--- a/packages/gateway/src/endpointSilence.feature
+++ b/packages/gateway/src/endpointSilence.feature
@@ -39,6 +39,14 @@
         When its endpoint is reported as lost
         Then 1 streams have gone on at the other endpoint
 
+    # Guards against requests that fail with 502 because an entry of another writer names the address of their endpoint.
+    Scenario: A request completes at an endpoint whose address another one announces
+        Given a gateway with 1 endpoint, 1 retry and repeatable requests
+        And a caller that has sent a request
+        When another endpoint announces the address of its endpoint
+        And they answer with status 200
+        Then each caller has an answer with status 200
+
     # Guards against streams that are taken from their endpoints after a stall of the gateway, whose timers run before its sockets are read.
     Scenario: Events that wait while the gateway stands still keep a stream at its endpoint
         Given a gateway with 2 endpoints, 1 retry and resumable streams
--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -3,9 +3,10 @@
 import { type Clock, type FakeMethod, install } from "@sinonjs/fake-timers";
 import { deepStrictEqual, strictEqual } from "node:assert";
 import type { CallerSocket } from "./testing/callerSocket.js";
-import { ForwardingHarness } from "./testing/forwardingHarness.js";
+import { ForwardingHarness, SERVICE } from "./testing/forwardingHarness.js";
 import {
     buildLossReport,
+    buildRivalHeartbeat,
     endResponse,
     formatEvent,
     type ScriptedAttempt,
@@ -101,6 +102,12 @@
     deepStrictEqual(sent.map(attempt => attempt.request.headers["after-event"]), callers.map(() => undefined));
 });
 
+When("another endpoint announces the address of its endpoint", async () => {
+    const { tracker, endpoints } = getHarness();
+    tracker.record(endpoints.map(endpoint => buildRivalHeartbeat(SERVICE, endpoint.id)), performance.now());
+    await getHarness().settle();
+});
+
 When("they complete their streams with event {int}", async (last: number) => {
     for (const attempt of listOpenAttempts()) {
         sendEvents(attempt, last);
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -330,10 +330,16 @@
         [...this.unexplainedLosses.keys()].forEach(key => this.explainLoss(key, this.views.get(key)));
         for (const [key, endpoint] of this.endpoints) {
             const view = this.views.get(key);
-            if (view === undefined || view.isLost) {
+            if (view?.isLossAnnounced === true) {
+                closeToNew(endpoint);
+            }
+            if (view === undefined || (view.isLost && !(view.isLossAnnounced && endpoint.inFlight.size > 0))) {
                 this.dropEndpoint(key, endpoint, view);
                 continue;
             }
+            if (view.isLossAnnounced) {
+                continue;
+            }
             if (view.engineReportedAt > endpoint.view.engineReportedAt) {
                 endpoint.endedSinceReport = 0;
             }
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -31,7 +31,8 @@
     route?: Partial<TrafficRoute>;
 }
 
-const SERVICE = "s";
+/** Name of the service that all endpoints belong to. */
+export const SERVICE = "s";
 const HOST = "h.example";
 /** Turns of the event loop in which messages between streams arrive. */
 const TURNS = 6;
--- a/packages/gateway/src/testing/scriptedEndpoint.ts
+++ b/packages/gateway/src/testing/scriptedEndpoint.ts
@@ -1,4 +1,4 @@
-import type { EndpointFact } from "@kumquathall/types";
+import type { EndpointFact, HeartbeatFact } from "@kumquathall/types";
 import type { AttemptHandler, AttemptRequest } from "../endpointPool.js";
 import type { EndpointTracker, TrackedEndpoint } from "../endpointTracker.js";
 
@@ -105,7 +105,12 @@
     };
 }
 
-function buildHeartbeat(service: string, id: string): EndpointFact {
+/** Builds the announcement of another incarnation at the address of an endpoint. */
+export function buildRivalHeartbeat(service: string, id: string): EndpointFact {
+    return { ...buildHeartbeat(service, id), id: `${id}-rival`, bornMs: 2 };
+}
+
+function buildHeartbeat(service: string, id: string): HeartbeatFact {
     return {
         kind: "heartbeat",
         id,
