End a leader's lease when its VM has been suspended

What callers saw: a control VM that was suspended for some seconds can answer a read with an older configuration than one that was confirmed meanwhile, for up to 450 ms after it goes on. The platform says that its machines may be suspended, and that the steady clock doesn't count that time.

Cause: the lease is measured by the monotonic clock, which stands still while the VM does. The others elect a leader, it confirms versions, and when the former leader goes on, its lease seems to hold still; a read that waited in its sockets is answered before the first message of the new term arrives.

At each event and before each use of the lease, a member now compares how far wall clock and monotonic clock have advanced. If the wall clock is ahead by 50 ms more than before, contact before that moment gives no lease, also where its answer arrives later, and a leader asks the others at once. A wall clock that is set forward has the same effect: the leader doesn't serve for one round trip. Not covered: a suspension during which the wall clock is set back by as much.

Test: "A leader that was suspended answers no read before a majority has answered it again" failed with the detection switched off (it may serve), passes now. Model scenarios and matrix pass as before.

--- a/packages/consensus/src/lease.ts
+++ b/packages/consensus/src/lease.ts
@@ -4,13 +4,14 @@
 /**
  * Returns when the leader's lease ends, `-Infinity` on any other member: the lease duration after the latest time such
  * that a majority, the leader included, has answered an append sent then or later. The lease is safe because members
- * grant no vote for an election timeout after an append.
+ * grant no vote for an election timeout after an append. Contact before `leaseSince` gives no lease.
  */
 export function computeLeaseEnd(state: ConsensusState<unknown>, now: number, options: ConsensusOptions): number {
     if (state.role !== Role.Leader) {
         return Number.NEGATIVE_INFINITY;
     }
-    return computeMajorityContact(state, now) + options.leaseMs;
+    const contact = computeMajorityContact(state, now);
+    return contact < state.leaseSince ? Number.NEGATIVE_INFINITY : contact + options.leaseMs;
 }
 
 /** Latest time such that a majority, this member included, has answered an append sent at that time or later. */
--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -15,6 +15,7 @@
     DEFAULT_CONSENSUS_OPTIONS,
 } from "./state.js";
 import { createConsensusState, stepConsensus } from "./step.js";
+import { SuspensionDetector } from "./suspensionDetector.js";
 
 /** Sends messages to other members; may lose, duplicate and reorder them. */
 export interface ConsensusTransport<Payload> {
@@ -77,6 +78,7 @@
     private isWriting = false;
     private isClosed = false;
     private lastSnapshot: Snapshot | undefined;
+    private readonly suspensionDetector = new SuspensionDetector();
     private readonly timer: NodeJS.Timeout;
 
     constructor(private readonly options: ConsensusRuntimeOptions<Payload, Result>) {
@@ -131,6 +133,7 @@
 
     /** Whether this member may serve reads and issue orders: it holds the lease and has applied all commits. */
     canServe(): boolean {
+        this.checkSuspension();
         return this.appliedIndex >= this.state.commitIndex && canServeRead(this.state, performance.now(), this.timing);
     }
 
@@ -215,6 +218,19 @@
         if (this.isClosed) {
             return [];
         }
+        this.checkSuspension();
+        return this.advance(event);
+    }
+
+    /** A suspended leader may have been replaced while its own clock stood still, so its lease ends. */
+    private checkSuspension(): void {
+        if (!this.isClosed && this.suspensionDetector.hasBeenSuspended()) {
+            this.options.logger.info("clock-advanced", { state: this.state.role, term: this.state.hardState.term });
+            this.advance({ kind: "suspended", now: performance.now() });
+        }
+    }
+
+    private advance(event: ConsensusEvent<Payload>): ConsensusEffect<Payload>[] {
         const result = stepConsensus(this.state, event, this.timing);
         this.state = result.state;
         this.execute(result.effects);
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -66,6 +66,8 @@
     heartbeatDue: number;
     /** On a leader: when it was elected; the quorum check counts from then until a majority has answered. */
     leaderSince: number;
+    /** Only answers to appends sent from this time on count towards the leader's lease. */
+    leaseSince: number;
 }
 
 export type ConsensusMessage<Payload> =
@@ -98,6 +100,8 @@
     | { kind: "propose"; now: number; payload: LogPayload<Payload> }
     /** The log is synced on this member's disk up to the entry with this index and term. */
     | { kind: "persisted"; now: number; index: number; term: number }
+    /** The monotonic clock may have stood still, so that no lease that began earlier can be relied on. */
+    | { kind: "suspended"; now: number }
     /** A snapshot is stored; entries up to this index may be removed. */
     | { kind: "compacted"; index: number };
 
--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -52,6 +52,7 @@
         peers: {},
         heartbeatDue: 0,
         leaderSince: 0,
+        leaseSince: Number.NEGATIVE_INFINITY,
     };
 }
 
@@ -88,6 +89,9 @@
         case "persisted":
             step.handlePersisted(event.index, event.term);
             break;
+        case "suspended":
+            step.handleSuspension(event.now);
+            break;
         case "compacted":
             step.compact(event.index);
             break;
@@ -179,6 +183,14 @@
         }
     }
 
+    /** A leader asks the others at once whether they still follow; until a majority has answered it has no lease. */
+    handleSuspension(now: number): void {
+        this.update({ leaseSince: now });
+        if (this.state.role === Role.Leader) {
+            this.sendAppends(now);
+        }
+    }
+
     compact(index: number): void {
         const term = getTermAt(this.state, index);
         if (index <= this.state.snapshotIndex || term === undefined || index > this.state.commitIndex) {
--- a/packages/matrix/src/memberLog.feature
+++ b/packages/matrix/src/memberLog.feature
@@ -14,3 +14,12 @@
         Given a control group of 3 members that take a snapshot every 10 entries
         When the leader takes a snapshot while a change of members is not committed, and another leader replaces it
         Then every member knows the 3 members after a restart
+
+    # Guards against answers from an older state: the monotonic clock of a suspended VM stands still, so that its lease
+    # seemed to hold after the others had elected another leader.
+    Scenario: A leader that was suspended answers no read before a majority has answered it again
+        Given a control group of 3 members that take a snapshot every 10 entries
+        When the leader is suspended for 5 s, and answers to what it had sent before arrive
+        Then it may not serve
+        When the members answer what it has sent since
+        Then it may serve
--- a/packages/matrix/src/memberLog.steps.ts
+++ b/packages/matrix/src/memberLog.steps.ts
@@ -1,7 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import type { Command } from "@kumquathall/types";
 import { type Clock, install } from "@sinonjs/fake-timers";
-import { deepStrictEqual, match, ok } from "node:assert";
+import { deepStrictEqual, match, ok, strictEqual } from "node:assert";
 import { ControlGroup, type GroupMember } from "./controlGroup.js";
 import { createRandom } from "./random.js";
 import { FAKED_TIMERS } from "./virtualTime.js";
@@ -11,12 +11,14 @@
 const ELECTION_MS = 4000;
 const COMMIT_MS = 50;
 const STEP_MS = 20;
+const MS_PER_SECOND = 1000;
 const ADDED_MEMBER = "d";
 
 let clock: Clock;
 let group: ControlGroup;
 let snapshotEvery = 0;
 let outcome = "";
+let suspended: GroupMember | undefined;
 
 After({ tags: "@member-log" }, () => {
     group.close();
@@ -102,3 +104,38 @@
         deepStrictEqual([id, runtime?.getMembers().length], [id, count]);
     }
 });
+
+When(
+    "the leader is suspended for {int} s, and answers to what it had sent before arrive",
+    TIMEOUT,
+    async (seconds: number) => {
+        const leader = await findLeader();
+        suspended = leader;
+        let sentBefore = Number.NEGATIVE_INFINITY;
+        group.onSend = (from, _to, message) => {
+            if (from === leader.id && message.kind === "append") {
+                sentBefore = Math.max(sentBefore, message.sentAt);
+            }
+        };
+        await commitEntries(leader, committed => committed === 1);
+        group.onSend = undefined;
+        group.rule = (_from, to, message) =>
+            to === leader.id && message.kind === "appendAnswer" && message.sentAt > sentBefore ? [] : [1];
+        clock.setSystemTime(Date.now() + seconds * MS_PER_SECOND);
+        const sent = { kind: "appendAnswer", term: leader.runtime?.getState().hardState.term ?? 0 } as const;
+        for (const id of group.members.keys()) {
+            if (id !== leader.id) {
+                leader.runtime?.receive(id, { ...sent, isAccepted: true, matchIndex: 1, sentAt: sentBefore });
+            }
+        }
+    },
+);
+
+Then("it may not serve", () => strictEqual(suspended?.runtime?.canServe(), false));
+
+When("the members answer what it has sent since", TIMEOUT, async () => {
+    group.rule = () => [1];
+    await clock.tickAsync(COMMIT_MS);
+});
+
+Then("it may serve", () => strictEqual(suspended?.runtime?.canServe(), true));
