Don't remove a member for a joiner that isn't added

On a deployment that tolerates the loss of no or one single VM (a zone, say), the control group gets smaller with each VM that doesn't answer while another asks to join: three founders, then two, then one, of whom one lost disk takes all that was acknowledged.

Cause: the target size follows from the number of VMs that may be lost, 2f + 1, which may be below the three founders. At or above the target, a member that doesn't answer was removed so that the joiner could be added; above it, the joiner never was.

A group now keeps at least the number of its founders, and above its size none is removed for a joiner that merely waits. A member whose address has an empty disk now is removed as before, since it can't come back.

Test: "A member is removed only if a joiner takes its place" failed before for a target of 1 ('remove b:1'), passes now; computeGroupSize is new. Deployments that tolerate two VMs have a target of five and aren't changed.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -24,6 +24,7 @@
 import { readMemberIdentity } from "./memberIdentity.js";
 import { MembershipTask } from "./membershipTask.js";
 import { registerControlMetrics } from "./metrics.js";
+import { computeGroupSize } from "./planMembership.js";
 import { PublishRecorder } from "./publishRecorder.js";
 import { QuarantineTask } from "./quarantineTask.js";
 import { describeRecovery } from "./recoveryReport.js";
@@ -234,7 +235,7 @@
                 id: this.id,
                 runtime: this.runtime,
                 listLinks: () => directory.listLinks(),
-                targetMembers: founding.targetMembers,
+                targetMembers: computeGroupSize(founding),
                 logger,
                 onMembersChange: members => this.updateDialers(members),
             });
--- a/packages/control/src/membership.feature
+++ b/packages/control/src/membership.feature
@@ -31,6 +31,21 @@
             | "a:1,c:1,d:1,e:1"         | ""           | "b:1#x" | "add b:1#x"     |
             | "a:1,b:1,c:1"             | ""           | "b:1"  | ""               |
 
+    # Guards against a group that gets smaller with each loss: where the target was below the number of founders, a member
+    # was removed for a joiner that was then never added.
+    Scenario Outline: A member is removed only if a joiner takes its place
+        Given the members <members>, of which "b:1" does not answer, a target of <target> and the joiner "d:1"
+        Then the next change is <change>
+
+        Examples:
+            | members         | target | change       |
+            | "a:1,b:1,c:1"   | 3      | "remove b:1" |
+            | "a:1,b:1,c:1"   | 1      | ""           |
+
+    Scenario: The group keeps the size at which it was founded
+        Given the seeds "10.0.0.1:70,10.0.0.2:70,10.0.0.3:70" and a target of 1
+        Then the group has 3 members
+
     Scenario Outline: Groups are planned once the endpoints of a starting fleet have appeared
         Given 33 endpoints of which <linked> have a linked sidecar, the newest seen <newest> ms ago and the first <first> ms
         Then the fleet is settled: <settled>
--- a/packages/control/src/membership.steps.ts
+++ b/packages/control/src/membership.steps.ts
@@ -3,7 +3,7 @@
 import { deepStrictEqual, match, strictEqual } from "node:assert";
 import type { FoundingSettings } from "./controlSettings.js";
 import { type MemberIdentity, readFoundingIdentity } from "./memberIdentity.js";
-import { type MemberChange, planMembership } from "./planMembership.js";
+import { computeGroupSize, type MemberChange, planMembership } from "./planMembership.js";
 import { isFleetSettled } from "./settling.js";
 
 const UNRESPONSIVE_MS = 10_000;
@@ -84,3 +84,9 @@
 Then("the next change is {string}", (expected: string) => {
     strictEqual(change === undefined ? "" : `${change.kind} ${change.member}`, expected);
 });
+
+Given("the seeds {string} and a target of {int}", (seeds: string, targetMembers: number) => {
+    founding = { seeds: seeds.split(","), isFirstStart: true, targetMembers };
+});
+
+Then("the group has {int} members", (count: number) => strictEqual(computeGroupSize(founding), count));
--- a/packages/control/src/planMembership.ts
+++ b/packages/control/src/planMembership.ts
@@ -1,4 +1,5 @@
 import { getMemberAddress } from "@kumquathall/control-directory";
+import type { FoundingSettings } from "./controlSettings.js";
 
 export interface MembershipInput {
     members: readonly string[];
@@ -11,6 +12,11 @@
     targetMembers: number;
 }
 
+/** Number of members that the group grows to and keeps: the target, or the number of founders if that is larger. */
+export function computeGroupSize(founding: Pick<FoundingSettings, "seeds" | "targetMembers">): number {
+    return Math.max(founding.targetMembers, founding.seeds.length);
+}
+
 /** One change of membership; the log takes one at a time. */
 export type MemberChange = { kind: "add" | "remove"; member: string; members: string[] };
 
@@ -20,7 +26,7 @@
 /**
  * Chooses the next change of the control group, if any. A joiner at a member's address proves that this member has lost
  * its disk: the member is removed before the joiner is added. At the target size, joiners wait until a member stops
- * answering.
+ * answering. Above it, none is removed for a joiner, since none would be added.
  */
 export function planMembership(input: MembershipInput): MemberChange | undefined {
     const joiner = input.joiners.find(candidate => !input.members.includes(candidate));
@@ -36,6 +42,9 @@
     if (input.members.length < input.targetMembers) {
         return { kind: "add", member: joiner, members: [...input.members, joiner] };
     }
+    if (input.members.length > input.targetMembers) {
+        return undefined;
+    }
     const unresponsive = input.members
         .filter(member => member !== input.self && input.getAnswerAgeMs(member) > REPLACE_AFTER_MS)
         .sort((left, right) => input.getAnswerAgeMs(right) - input.getAnswerAgeMs(left));
