--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -7,7 +7,7 @@
     findFactFault,
     pickFact,
 } from "@kumquathall/endpoint-registry";
-import { LoadBudget, planEngineOrders, type PlannedOrder } from "@kumquathall/engine-groups";
+import { LoadBudget, OrderTracker, planEngineOrders, type PlannedOrder } from "@kumquathall/engine-groups";
 import { estimateServiceMs } from "@kumquathall/engine-model";
 import { describeError } from "@kumquathall/errors";
 import { castToAll, type Link } from "@kumquathall/link";
@@ -23,7 +23,6 @@
 } from "@kumquathall/types";
 import type { ControlStateMachine } from "./controlStateMachine.js";
 import { FactFilter, hasOnlyLoadChange } from "./factFilter.js";
-import { OrderTracker } from "./orderTracker.js";
 import { isFleetSettled } from "./settling.js";
 
 export interface EndpointTaskOptions {
@@ -293,6 +292,7 @@
             isOrderPending: view => this.orders.isPending(view, now),
             admitLoad: (durationMs, keptFree) => !this.isTrafficSeen || budget.admitLoad(now, durationMs, keptFree),
             getOrderedMembers: key => this.orders.getMembers(key),
+            canJoinOther: (view, key) => this.orders.canJoinOther(view, key),
             isOpening: key => this.orders.isOpening(key, now, engine.formationMs + OPEN_MARGIN_MS),
             getStagingModel: view => this.orders.getStagingModel(view),
             getAcceptedPart: (head, model) => this.computeAcceptedPart(head, engine, model),
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -2,12 +2,14 @@
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteBudget } from "./byteBudget.js";
+import { type CallerConnections, CloseReason } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
 import { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import { ForwardedRequest } from "./forwardedRequest.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
+import { InvalidResponses } from "./invalidResponses.js";
 import type { GatewayMetrics } from "./metrics.js";
 import { describeQuarantine, formatSuspect, type QuarantineList } from "./quarantineList.js";
 import { readBody } from "./readBody.js";
@@ -19,6 +21,7 @@
 export interface ForwarderOptions {
     tracker: EndpointTracker;
     limits: EndpointLimits;
+    connections: CallerConnections;
     codec: HttpHeaderCodec;
     logger: Logger;
     metrics: GatewayMetrics;
@@ -54,9 +57,12 @@
     private readonly bias = new FirstEventBiasEstimator();
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
     private readonly ages = new RequestAgeEstimator();
+    private readonly invalidResponses: InvalidResponses;
     private isTrafficSeen = false;
 
-    constructor(private readonly options: ForwarderOptions) {}
+    constructor(private readonly options: ForwarderOptions) {
+        this.invalidResponses = new InvalidResponses(options.logger, options.metrics.invalidResponses);
+    }
 
     hasReceivedRequests(): boolean {
         return this.isTrafficSeen;
@@ -66,6 +72,17 @@
         return this.active.size;
     }
 
+    /** Counts the bytes that are held for peers, by what they are. */
+    countHeldBytes(): Record<string, number> {
+        let bodies = 0;
+        let unread = 0;
+        for (const request of this.active) {
+            bodies += request.countBodyBytes();
+            unread += request.countUnreadBytes();
+        }
+        return { bodies, answers: this.answerBytes.getHeld(), unread };
+    }
+
     forward(request: IncomingMessage, response: ServerResponse): void {
         const { codec, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
@@ -132,7 +149,7 @@
         readBody(request, { maxBytes, timeoutMs }, outcome => {
             if (outcome.kind === "tooLarge") {
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
-                closeUnlessComplete(request, maxBytes);
+                closeUnlessComplete(request, maxBytes, this.options.connections);
                 return;
             }
             if (outcome.kind === "late") {
@@ -156,6 +173,8 @@
                 configurationVersion,
                 tracker: this.options.tracker,
                 limits: this.options.limits,
+                connections: this.options.connections,
+                isStopping,
                 codec,
                 logger: this.options.logger,
                 metrics,
@@ -165,6 +184,7 @@
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
                 answerBytes: this.answerBytes,
+                invalidResponses: this.invalidResponses,
                 onEnd: () => {
                     this.active.delete(forwarded);
                     metrics.active.set(this.active.size);
@@ -192,7 +212,7 @@
  * Closes the connection of a refused request whose body goes on. A connection that is closed while bytes arrive is reset,
  * and the caller may not get the refusal; so up to `maxBytes` more are discarded, and it is closed after a while.
  */
-function closeUnlessComplete(request: IncomingMessage, maxBytes: number): void {
+function closeUnlessComplete(request: IncomingMessage, maxBytes: number, connections: CallerConnections): void {
     let discarded = 0;
     request.on("data", (chunk: Buffer) => {
         discarded += chunk.length;
@@ -202,7 +222,7 @@
     });
     setTimeout(() => {
         if (!request.complete) {
-            request.socket.destroy();
+            connections.close(request.socket, CloseReason.BodyTooLarge);
         }
     }, CLOSE_AFTER_MS).unref();
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -8,6 +8,11 @@
     active: Gauge;
     quarantined: Gauge<"subject">;
     permits: Counter<"outcome">;
+    incompleteAnswers: Counter<"cause" | "stopping">;
+    connectionsClosed: Counter<"reason">;
+    responsesCut: Counter<"reason">;
+    parseErrors: Counter<"code">;
+    invalidResponses: Counter<"reason">;
 }
 
 export interface GatewayMetricsOptions {
@@ -15,6 +20,8 @@
     countLimited: () => number;
     /** Counts the endpoints that have asked to be sent nothing now. */
     countPaused: () => number;
+    /** Counts the bytes that are held for peers, by what they are. */
+    countHeldBytes: () => Record<string, number>;
 }
 
 /** Bucket bounds in seconds: objectives are some hundred milliseconds, deadlines some seconds. */
@@ -38,6 +45,15 @@
             this.set(options.countPaused());
         },
     });
+    new Gauge({
+        name: "kumquathall_gateway_held_bytes",
+        help: "Memory held for bodies of requests, responses without events, and events that callers have not read",
+        labelNames: ["kind"],
+        registers,
+        collect() {
+            Object.entries(options.countHeldBytes()).forEach(([kind, bytes]) => this.set({ kind }, bytes));
+        },
+    });
     return {
         answers: new Counter({
             name: "kumquathall_gateway_answers_total",
@@ -70,6 +86,37 @@
             labelNames: ["outcome"],
             registers,
         }),
+        incompleteAnswers: new Counter({
+            name: "kumquathall_gateway_incomplete_answers_total",
+            help:
+                "Requests that ended without a complete answer of an endpoint, by cause and whether the gateway was stopping",
+            labelNames: ["cause", "stopping"],
+            registers,
+        }),
+        connectionsClosed: new Counter({
+            name: "kumquathall_gateway_connections_closed_total",
+            help: "Callers' connections that this process closed, by reason",
+            labelNames: ["reason"],
+            registers,
+        }),
+        responsesCut: new Counter({
+            name: "kumquathall_gateway_responses_cut_total",
+            help: "Responses that had not left the process when it closed their connection, by reason",
+            labelNames: ["reason"],
+            registers,
+        }),
+        parseErrors: new Counter({
+            name: "kumquathall_gateway_parse_errors_total",
+            help: "Callers' bytes that are no HTTP request, by the parser's error code",
+            labelNames: ["code"],
+            registers,
+        }),
+        invalidResponses: new Counter({
+            name: "kumquathall_gateway_invalid_responses_total",
+            help: "Bytes of endpoints that are not the response that a request waits for, by reason",
+            labelNames: ["reason"],
+            registers,
+        }),
         active: new Gauge({
             name: "kumquathall_gateway_active_requests",
             help: "Requests under way",
