Plan no groups of models that none can be formed of

What callers saw: after a configuration that made the list of an engine service's models empty, each control member that led ended, again and again (6 ends of each of 3 members in 15 s in the review). With a model of 0, fewer or half members a leader would have stopped to answer.

Cause: the planner took a first model for granted (planRebalance), and forms groups until none can be formed, which with groups of no members never ends. An exception of the plan left the timer.

The planner now uses only models with a whole number of members and a share; without any, it keeps what serves and plans nothing else. An exception while one service is planned is logged and counted (input-refused, kind engine-plan): a plan is computed anew from reports, so the next one does not depend on it.

Evidence: planOrders.feature (6 new cases). Of the former planner: the empty list throws "Cannot read properties of undefined (reading 'name')"; sizes of 0, -3 and 0.5 don't end within 5 s; shares of 0 and NaN were harmless. Now all six keep both groups serving, and a lost member is replaced after it. @engine-groups: 30 passed.

--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -258,7 +258,19 @@
         this.plannedAt = now;
         const services = getTraffic(stateMachine.getState().configuration)?.services ?? [];
         for (const service of services) {
-            this.planService(service, now);
+            try {
+                this.planService(service, now);
+            }
+            catch (error) {
+                // Plans are computed anew from reports: the next one does not depend on this one.
+                const message = describeError(error);
+                this.faults.record({
+                    kind: "engine-plan",
+                    reason: "its computation failed",
+                    writer: service.name,
+                    message,
+                });
+            }
         }
     }
 
--- a/packages/engine-groups/src/planOrders.feature
+++ b/packages/engine-groups/src/planOrders.feature
@@ -179,3 +179,22 @@
         And 15 engines in each of 1 domains
         When engines leave 0.35 of the orders unanswered and carry them out late, and 2 crash every 4500 ms for 60000 ms with each of 20 seeds
         Then no group opened incomplete and no member left a serving group
+
+    # Guards against a plan that fails, or never ends, for a list of models that no groups can be formed of.
+    Scenario Outline: Groups keep serving while the list of models can't be planned, and are planned again after it
+        Given 11 engines in each of 1 domains
+        When 8000 ms pass before traffic
+        And traffic begins
+        And for 5000 ms the list of models <change>
+        Then 1 groups of "big" and 1 groups of "small" serve
+        When a member of rank 3 of a "big" group is lost
+        Then a group of "big" serves again within 1000 ms
+
+        Examples:
+            | change                              |
+            | "is empty"                          |
+            | "has a model without members"       |
+            | "has a model with a negative size"  |
+            | "has a model with half a member"    |
+            | "has only models without a share"   |
+            | "has a share that is no number"     |
--- a/packages/engine-groups/src/planOrders.steps.ts
+++ b/packages/engine-groups/src/planOrders.steps.ts
@@ -1,5 +1,5 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import type { EngineProfile } from "@kumquathall/types";
+import type { EngineModelProfile, EngineProfile } from "@kumquathall/types";
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { parseGroupName } from "./groupName.js";
 import { EngineFleet } from "./testing/engineFleet.js";
@@ -102,6 +102,22 @@
     fleet.announceLeaving(member?.id ?? "");
 });
 
+const MODEL_CHANGES: Record<string, (models: EngineModelProfile[]) => EngineModelProfile[]> = {
+    "is empty": () => [],
+    "has a model without members": models => models.map(model => ({ ...model, groupSize: 0 })),
+    "has a model with a negative size": models => models.map(model => ({ ...model, groupSize: -3 })),
+    "has a model with half a member": models => models.map(model => ({ ...model, groupSize: 0.5 })),
+    "has only models without a share": models => models.map(model => ({ ...model, share: 0 })),
+    "has a share that is no number": models => models.map(model => ({ ...model, share: Number.NaN })),
+};
+
+When("for {int} ms the list of models {string}", (durationMs: number, change: string) => {
+    const { models } = profile;
+    profile.models = MODEL_CHANGES[change](models);
+    fleet.advance(durationMs);
+    profile.models = models;
+});
+
 When("all engines are lost and restart {int} ms later", (ms: number) => {
     const ids = fleet.listEngines().map(view => view.id);
     ids.forEach(id => fleet.crash(id));
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -86,19 +86,22 @@
     private readonly capacities = new Map<string, number>();
     /** Endpoints that may be group members, by fabric domain. */
     private readonly usable = new Map<string, EndpointView[]>();
-    /** Models by descending group size. */
+    /** Models that groups can be formed of, as the profile lists them. */
+    private readonly listedModels: EngineModelProfile[];
+    /** The same by descending group size. */
     private readonly models: EngineModelProfile[];
     private readonly viewsById: Map<string, EndpointView>;
 
     constructor(private readonly input: OrderPlanInput) {
         this.groups = listEngineGroups(input.views);
         this.viewsById = new Map(input.views.map(view => [view.id, view]));
-        this.models = [...input.profile.models].sort((left, right) => right.groupSize - left.groupSize);
+        this.listedModels = input.profile.models.filter(canForm);
+        this.models = [...this.listedModels].sort((left, right) => right.groupSize - left.groupSize);
     }
 
     assemble(): PlannedOrder[] {
         const activeKeys = this.planExistingGroups();
-        if (!this.input.isSettled) {
+        if (!this.input.isSettled || this.models.length === 0) {
             return this.orders;
         }
         this.collectFree(activeKeys);
@@ -288,7 +291,7 @@
 
     /** Chooses the most underallocated model that can form a group, and the domain with the fewest loads. */
     private chooseGroup(canLoad: boolean) {
-        const models = [...this.input.profile.models].sort((left, right) =>
+        const models = [...this.listedModels].sort((left, right) =>
             this.computeAcceptingAllocation(left) - this.computeAcceptingAllocation(right)
         );
         for (const model of models) {
@@ -608,6 +611,11 @@
     }
 }
 
+/** Whether groups of a model can be formed: a model without members or without a share is never satisfied. */
+function canForm(model: EngineModelProfile): boolean {
+    return Number.isSafeInteger(model.groupSize) && model.groupSize > 0 && model.share > 0;
+}
+
 type OrderBody = EngineOrder extends infer Order
     ? Order extends EngineOrder ? Omit<Order, "expectedSequence" | "fence"> : never
     : never;
