Take an empty list of accounts as no valid key

What callers saw: when a configuration took the last account away (an empty list), every request ran: with keys that were taken away, with keys that no configuration ever held, and without one.

Cause: whether requests need a key was derived from the number of accounts. The protocol ties it to the list: a manifest that contains it needs keys. For an operator who removes the last account, and for the callers whose keys were removed, refusing with 401 is the safe reading; a list that is left out still means that no keys are used. The configuration now says whether keys are needed; stored ones of earlier builds don't, and keep the former reading.

--- a/packages/control-state/src/trafficEntries.ts
+++ b/packages/control-state/src/trafficEntries.ts
@@ -12,12 +12,13 @@
 
 /** Lists the configuration entries of a traffic configuration by key. */
 export function listTrafficEntries(traffic: TrafficConfiguration): Map<string, ConfigurationValue> {
-    const { version, limits, services, routes, accounts } = traffic;
+    const { version, limits, services, routes, accounts, requiresKeys } = traffic;
     const entries = new Map<string, ConfigurationValue>([[TRAFFIC_KEY, {
         kind: "traffic",
         version,
         limits,
         services,
+        ...requiresKeys === undefined ? {} : { requiresKeys },
     }]]);
     for (const route of routes) {
         entries.set(formatRouteKey(route), { kind: "trafficRoute", route });
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -88,9 +88,9 @@
         return key === undefined ? undefined : this.accountsByKey.get(key);
     }
 
-    /** Whether requests need an account's key. */
+    /** Whether requests need an account's key. They do where the list of accounts is present and empty. */
     hasAccounts(): boolean {
-        return this.accountCount > 0;
+        return this.current?.requiresKeys ?? this.accountCount > 0;
     }
 
     private removeEntry(key: string): void {
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -118,7 +118,13 @@
     | { kind: "drain"; drain: DrainRecord }
     | { kind: "suspect"; suspect: SuspectRecord }
     /** The traffic configuration in force, without its routes and accounts, which are entries of their own. */
-    | { kind: "traffic"; version: number; limits: CallerLimits; services: TrafficService[] }
+    | {
+        kind: "traffic";
+        version: number;
+        limits: CallerLimits;
+        services: TrafficService[];
+        requiresKeys?: boolean;
+    }
     | { kind: "trafficRoute"; route: TrafficRoute }
     | { kind: "trafficAccount"; account: TrafficAccount };
 
--- a/packages/types/src/traffic.ts
+++ b/packages/types/src/traffic.ts
@@ -102,4 +102,9 @@
     services: TrafficService[];
     limits: CallerLimits;
     accounts: TrafficAccount[];
+    /**
+     * Whether requests need an account's key, also if there is no account: then no key is valid. `undefined` in
+     * configurations of earlier builds, which need a key if there is an account.
+     */
+    requiresKeys?: boolean;
 }
