--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -1,8 +1,15 @@
 import { ConsensusError, type ConsensusMessage, ConsensusRuntime } from "@kumquathall/consensus";
 import { ControlDirectory, getMemberAddress } from "@kumquathall/control-directory";
 import { describeError, KumquathallError } from "@kumquathall/errors";
-import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
+import {
+    createIdentity,
+    createInputFaultLog,
+    createLinkFaultHandler,
+    type RoleContext,
+    type RunningRole,
+} from "@kumquathall/kernel";
 import { type Link, LinkDialer, LinkListener, parseAddress, type PeerIdentity } from "@kumquathall/link";
+import type { InputFaultLog } from "@kumquathall/logger";
 import { LogStore, NodeDisk } from "@kumquathall/storage";
 import type {
     Command,
@@ -24,11 +31,13 @@
 import { readMemberIdentity } from "./memberIdentity.js";
 import { MembershipTask } from "./membershipTask.js";
 import { registerControlMetrics } from "./metrics.js";
+import { PublishRecorder } from "./publishRecorder.js";
 import { QuarantineTask } from "./quarantineTask.js";
+import { describeRecovery } from "./recoveryReport.js";
 import { buildRevisionReport } from "./revisionReport.js";
 import { listSnapshotParts, type SnapshotPart, SnapshotReceiver } from "./snapshotTransfer.js";
 import { buildStatus } from "./status.js";
-import { TrafficPublisher } from "./trafficPublisher.js";
+import { type PublishReceipt, TrafficPublisher } from "./trafficPublisher.js";
 
 /** A consensus message between two members, or one part of a snapshot. */
 type MemberCast =
@@ -53,6 +62,7 @@
     private readonly stateMachine = new ControlStateMachine();
     private readonly distributor: Distributor;
     private readonly identity: PeerIdentity;
+    private readonly faults: InputFaultLog;
     private readonly dialers = new Map<string, LinkDialer>();
     /** Snapshots being received, by sender. */
     private readonly receivers = new Map<string, SnapshotReceiver>();
@@ -61,6 +71,7 @@
     private leaderTask!: LeaderTask;
     private leaderCaller!: LeaderCaller;
     private trafficPublisher!: TrafficPublisher;
+    private publishRecorder!: PublishRecorder;
     private membershipTask: MembershipTask | undefined;
     private endpointTask: EndpointTask | undefined;
     private quarantineTask: QuarantineTask | undefined;
@@ -75,6 +86,7 @@
         private readonly options: ControlRoleOptions,
     ) {
         this.identity = createIdentity(context, "control", id);
+        this.faults = createInputFaultLog(context);
         this.distributor = new Distributor(() => this.stateMachine.getState().configuration, context.logger);
     }
 
@@ -93,8 +105,16 @@
      * Publishes a traffic configuration, unless this version or a newer one is in force. Rejects with
      * {@link ConfigurationSizeError} if it is too large, and with {@link KumquathallError} if no leader confirms it.
      */
-    async publishTraffic(traffic: TrafficConfiguration, document: string): Promise<void> {
-        await this.trafficPublisher.publish(traffic, document);
+    async publishTraffic(traffic: TrafficConfiguration, document: string): Promise<PublishReceipt> {
+        try {
+            const receipt = await this.trafficPublisher.publish(traffic, document);
+            this.publishRecorder.recordReceipt(receipt);
+            return receipt;
+        }
+        catch (error) {
+            this.publishRecorder.recordFailure(traffic.version, error);
+            throw error;
+        }
     }
 
     /**
@@ -108,7 +128,7 @@
 
     /** Records a fact about an endpoint and, if it is new, sends it to the other members. */
     recordEndpointFact(fact: EndpointFact): void {
-        if (this.endpointTask?.record(fact) === true) {
+        if (this.endpointTask?.record(fact, fact.kind === "observation" ? fact.address : fact.id) === true) {
             this.directory?.castAll({ kind: "endpointFacts", facts: [fact] });
         }
     }
@@ -150,12 +170,6 @@
     private async open(): Promise<void> {
         const { context, settings } = this;
         const { store, recovered } = await LogStore.open<Command>({ disk: new NodeDisk(settings.dataFolder) });
-        context.logger.info("log-recovered", {
-            snapshot: recovered.snapshot?.index ?? 0,
-            entries: recovered.entries.length,
-            term: recovered.hardState.term,
-            cutBytes: recovered.cutBytes,
-        });
         this.runtime = new ConsensusRuntime<Command, CommandResult>({
             id: this.id,
             members: this.members,
@@ -168,6 +182,7 @@
             onFatal: error => context.fail(error),
             onApplied: () => this.distributor.scheduleAnnouncement(),
         });
+        context.logger.info("log-recovered", describeRecovery(this.runtime, this.stateMachine, recovered));
         this.leaderTask = new LeaderTask({
             runtime: this.runtime,
             stateMachine: this.stateMachine,
@@ -186,6 +201,11 @@
             stateMachine: this.stateMachine,
             callLeader: (call, timeoutMs) => this.leaderCaller.call(call, timeoutMs),
         });
+        this.publishRecorder = new PublishRecorder({
+            runtime: this.runtime,
+            metrics: context.metrics,
+            logger: context.logger,
+        });
         this.openTasks();
         registerControlMetrics(context.metrics, this.runtime, this.stateMachine);
         this.listener = await LinkListener.listen({
@@ -196,6 +216,7 @@
                 onCall: (message, link) => this.handleCall(message as ControlCall, link),
                 onCast: (message, link) => this.handleCast(message as MemberCast, link),
                 onOpen: link => this.endpointTask?.addLink(link),
+                onFault: createLinkFaultHandler(this.faults),
                 onClose: link => {
                     this.distributor.removeWatcher(link);
                     this.endpointTask?.removeLink(link);
@@ -212,16 +233,20 @@
         const { founding } = this.settings;
         const { logger } = this.context;
         if (founding !== undefined) {
-            this.directory = new ControlDirectory({
+            const directory = new ControlDirectory({
                 identity: this.identity,
                 seeds: founding.seeds.filter(seed => seed !== this.settings.listen),
-                handlers: { onOpen: link => this.addMemberLink(link) },
+                handlers: {
+                    onOpen: link => this.addMemberLink(link),
+                    onFault: createLinkFaultHandler(this.faults),
+                },
                 logger,
             });
+            this.directory = directory;
             this.membershipTask = new MembershipTask({
                 id: this.id,
                 runtime: this.runtime,
-                directory: this.directory,
+                listLinks: () => directory.listLinks(),
                 targetMembers: founding.targetMembers,
                 logger,
                 onMembersChange: members => this.updateDialers(members),
@@ -231,6 +256,7 @@
             const options = { runtime: this.runtime, stateMachine: this.stateMachine, logger };
             this.endpointTask = new EndpointTask({
                 ...options,
+                faults: this.faults,
                 getNamedLimit: endpoint => this.limitTask?.getNamedLimit(endpoint),
             });
             this.quarantineTask = new QuarantineTask(options);
@@ -261,7 +287,7 @@
             address: parseAddress(listed ?? getMemberAddress(member)),
             tls: this.context.tls,
             identity: this.identity,
-            handlers: {},
+            handlers: { onFault: createLinkFaultHandler(this.faults) },
         });
         this.dialers.set(member, dialer);
         return dialer;
@@ -291,7 +317,7 @@
             return;
         }
         if (cast.kind === "endpointFacts") {
-            cast.facts.forEach(fact => this.endpointTask?.record(fact));
+            cast.facts.forEach(fact => this.endpointTask?.record(fact, link.peer?.id ?? ""));
             return;
         }
         if (cast.kind === "crashEvidence") {
@@ -393,7 +419,9 @@
 
     private async propose(command: Command): Promise<ControlAnswer> {
         try {
-            return { kind: "result", result: await this.runtime.propose(command) };
+            const result = await this.runtime.propose(command);
+            this.publishRecorder.recordResult(command, result);
+            return { kind: "result", result };
         }
         catch (error) {
             return error instanceof ConsensusError
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -1,13 +1,15 @@
+import { ByteBudget } from "@kumquathall/byte-collector";
 import type { Logger } from "@kumquathall/logger";
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { ByteBudget } from "./byteBudget.js";
+import { type CallerConnections, CloseReason } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
 import { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import { ForwardedRequest } from "./forwardedRequest.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
+import { InvalidResponses } from "./invalidResponses.js";
 import type { GatewayMetrics } from "./metrics.js";
 import { describeQuarantine, formatSuspect, type QuarantineList } from "./quarantineList.js";
 import { readBody } from "./readBody.js";
@@ -15,10 +17,12 @@
 import { RequestAgeEstimator } from "./requestAgeEstimator.js";
 import { chooseTarget, type RouteTable } from "./routeTable.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { UnreadAnswers } from "./unreadAnswers.js";
 
 export interface ForwarderOptions {
     tracker: EndpointTracker;
     limits: EndpointLimits;
+    connections: CallerConnections;
     codec: HttpHeaderCodec;
     logger: Logger;
     metrics: GatewayMetrics;
@@ -44,19 +48,33 @@
 
 /** Time for a caller to read the refusal of a request whose body goes on, in milliseconds. */
 const CLOSE_AFTER_MS = 500;
-/** Bytes of responses without events that are held for all requests. */
+/** Memory for all requests, in bytes: their bodies, their incomplete responses, and the events that callers have not read. */
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const MAX_UNREAD_EVENT_BYTES = 64 * 1024 * 1024;
 
 /** Accepts callers' requests: finds the route and the account, reads the body and starts forwarding. */
 export class Forwarder {
     private readonly active = new Set<ForwardedRequest>();
+    /** Refusals of requests whose body still arrives. */
+    private readonly readingBody = new Set<() => void>();
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBiasEstimator();
+    private readonly bodyBytes = new ByteBudget(MAX_BODY_BYTES);
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
+    private readonly unreadEventBytes = new ByteBudget(MAX_UNREAD_EVENT_BYTES);
+    private readonly unreadAnswers: UnreadAnswers;
     private readonly ages = new RequestAgeEstimator();
+    private readonly invalidResponses: InvalidResponses;
     private isTrafficSeen = false;
 
-    constructor(private readonly options: ForwarderOptions) {}
+    constructor(private readonly options: ForwarderOptions) {
+        this.invalidResponses = new InvalidResponses(options.logger, options.metrics.invalidResponses);
+        this.unreadAnswers = new UnreadAnswers(() => {
+            options.metrics.unreadAnswersCut.inc();
+            options.logger.warn("unread-answer-cut");
+        });
+    }
 
     hasReceivedRequests(): boolean {
         return this.isTrafficSeen;
@@ -66,6 +84,21 @@
         return this.active.size;
     }
 
+    /** Counts the bytes that are held for peers, by what they are. */
+    countHeldBytes(): Record<string, number> {
+        return {
+            bodies: this.bodyBytes.getHeld(),
+            answers: this.answerBytes.getHeld(),
+            unread: this.unreadEventBytes.getHeld() + this.unreadAnswers.getHeld(),
+        };
+    }
+
+    /** Gives every request in flight its final answer, since the process ends. */
+    endAll(): void {
+        [...this.readingBody].forEach(refuseUnread => refuseUnread());
+        [...this.active].forEach(forwarded => forwarded.endForStop());
+    }
+
     forward(request: IncomingMessage, response: ServerResponse): void {
         const { codec, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
@@ -129,10 +162,29 @@
         }
         const configurationVersion = table.getVersion();
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
-        readBody(request, { maxBytes, timeoutMs }, outcome => {
+        const refuseUnread = () => {
+            this.readingBody.delete(refuseUnread);
+            response.setHeader("connection", "close");
+            refuseRequest(RefusalCause.Stopping, route.name);
+        };
+        this.readingBody.add(refuseUnread);
+        response.on("close", () => this.readingBody.delete(refuseUnread));
+        readBody(request, { maxBytes, budget: this.bodyBytes, timeoutMs }, outcome => {
+            if (!this.readingBody.delete(refuseUnread)) {
+                // The caller has left, or the stop has refused the request.
+                if (outcome.kind === "whole") {
+                    outcome.release();
+                }
+                return;
+            }
             if (outcome.kind === "tooLarge") {
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
-                closeUnlessComplete(request, maxBytes);
+                closeUnlessComplete(request, maxBytes, this.options.connections);
+                return;
+            }
+            if (outcome.kind === "noMemory") {
+                refuseRequest(RefusalCause.BodiesFull, route.name);
+                closeUnlessComplete(request, maxBytes, this.options.connections);
                 return;
             }
             if (outcome.kind === "late") {
@@ -141,7 +193,7 @@
                 refuseRequest(RefusalCause.BodyLate, route.name);
                 return;
             }
-            const { body } = outcome;
+            const { body, release } = outcome;
             const service = chooseTarget(route, Math.random());
             const forwarded = new ForwardedRequest({
                 request,
@@ -156,6 +208,8 @@
                 configurationVersion,
                 tracker: this.options.tracker,
                 limits: this.options.limits,
+                connections: this.options.connections,
+                isStopping,
                 codec,
                 logger: this.options.logger,
                 metrics,
@@ -165,7 +219,11 @@
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
                 answerBytes: this.answerBytes,
+                unreadEventBytes: this.unreadEventBytes,
+                unreadAnswers: this.unreadAnswers,
+                invalidResponses: this.invalidResponses,
                 onEnd: () => {
+                    release();
                     this.active.delete(forwarded);
                     metrics.active.set(this.active.size);
                 },
@@ -192,7 +250,7 @@
  * Closes the connection of a refused request whose body goes on. A connection that is closed while bytes arrive is reset,
  * and the caller may not get the refusal; so up to `maxBytes` more are discarded, and it is closed after a while.
  */
-function closeUnlessComplete(request: IncomingMessage, maxBytes: number): void {
+function closeUnlessComplete(request: IncomingMessage, maxBytes: number, connections: CallerConnections): void {
     let discarded = 0;
     request.on("data", (chunk: Buffer) => {
         discarded += chunk.length;
@@ -202,7 +260,7 @@
     });
     setTimeout(() => {
         if (!request.complete) {
-            request.socket.destroy();
+            connections.close(request.socket, CloseReason.BodyTooLarge);
         }
     }, CLOSE_AFTER_MS).unref();
 }
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,6 +1,12 @@
 import { ControlDirectory } from "@kumquathall/control-directory";
 import { describeError } from "@kumquathall/errors";
-import { createIdentity, type RoleContext, type RunningRole } from "@kumquathall/kernel";
+import {
+    createIdentity,
+    createInputFaultLog,
+    createLinkFaultHandler,
+    type RoleContext,
+    type RunningRole,
+} from "@kumquathall/kernel";
 import { type Link, parseAddress } from "@kumquathall/link";
 import type {
     ConfigurationUpdate,
@@ -13,10 +19,12 @@
     RevisionCast,
 } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { CallerConnections, CloseReason } from "./callerConnections.js";
 import { CrashReporter } from "./crashReporter.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import { EndpointTracker } from "./endpointTracker.js";
 import { Forwarder } from "./forwarder.js";
+import { GatewayStop } from "./gatewayStop.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
 import { type GatewayMetrics, registerGatewayMetrics } from "./metrics.js";
 import { PermitClient } from "./permitClient.js";
@@ -47,7 +55,6 @@
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
     | { kind: "endpointLimits"; facts: LimitFact[] };
 
-const DRAIN_CHECK_MS = 50;
 const STALE_CHECK_MS = 5000;
 /** Largest header block that is parsed, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -65,9 +72,11 @@
     private readonly limits: EndpointLimits;
     private readonly forwarder: Forwarder;
     private readonly server: Server;
+    private readonly connections: CallerConnections;
     private readonly readyServer: Server;
     private readonly staleTimer: NodeJS.Timeout;
-    private stoppingSince: number | undefined;
+    /** The stop under way. */
+    private stop: GatewayStop | undefined;
     private readonly stopPlan: StopPlan;
 
     private constructor(
@@ -76,9 +85,11 @@
         private readonly codec: HttpHeaderCodec,
     ) {
         const { logger } = context;
+        const faults = createInputFaultLog(context);
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
             countPaused: () => this.tracker.countPaused(performance.now()),
+            countHeldBytes: () => this.forwarder.countHeldBytes(),
         });
         this.stopPlan = planStop(settings.stopWithinMs);
         this.quarantine = new QuarantineList(logger);
@@ -94,6 +105,7 @@
         this.tracker = new EndpointTracker({
             getService: name => this.reader.getTable()?.getService(name),
             logger,
+            faults,
             onCrash: crash => this.crashReporter.reportCrash(crash, performance.now()),
             onLeaving: fact => this.directory.castAll({ kind: "endpointFacts", facts: [fact] }),
         });
@@ -108,19 +120,30 @@
             },
             countGateways: () => this.directory.countGateways(),
         });
+        this.server = createServer(
+            { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 60_000, requestTimeout: 0 },
+            (request, response) => this.handle(request, response),
+        );
+        this.connections = new CallerConnections({
+            server: this.server,
+            logger,
+            metrics: this.metrics,
+            isStopping: () => this.stop !== undefined,
+        });
         this.staleTimer = setInterval(() => this.removeStale(), STALE_CHECK_MS);
         this.forwarder = new Forwarder({
             tracker: this.tracker,
             limits: this.limits,
+            connections: this.connections,
             codec,
             logger,
             metrics: this.metrics,
             getTable: () => this.reader.getTable(),
             isConfigurationBehind: () => this.reader.isBehind(performance.now()),
-            isStopping: () => this.stoppingSince !== undefined,
+            isStopping: () => this.stop !== undefined,
             canAccept: maxDurationMs =>
-                this.stoppingSince === undefined
-                || canAcceptWhileStopping(this.stopPlan, performance.now() - this.stoppingSince, maxDurationMs),
+                this.stop === undefined
+                || canAcceptWhileStopping(this.stopPlan, this.stop.getElapsedMs(), maxDurationMs),
             onFirstRequest: () => this.announceTraffic(),
             quarantine: this.quarantine,
             crashReporter: this.crashReporter,
@@ -129,10 +152,6 @@
             retryRatio: settings.retryBudget.ratio,
             retryWindowMs: settings.retryBudget.windowMs,
         });
-        this.server = createServer(
-            { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 60_000, requestTimeout: 0 },
-            (request, response) => this.handle(request, response),
-        );
         this.readyServer = createServer((request, response) => this.handleReadinessCheck(request, response));
         this.directory = new ControlDirectory({
             identity: createIdentity(context, "gateway"),
@@ -141,6 +160,7 @@
                 onOpen: link => this.attachLink(link),
                 onClose: link => this.reader.removeLink(link),
                 onCast: (message, link) => this.handleCast(message as ControlCast, link),
+                onFault: createLinkFaultHandler(faults),
             },
             logger,
         });
@@ -162,30 +182,19 @@
     }
 
     isReady(): boolean {
-        return this.stoppingSince === undefined && this.reader.getTable() !== undefined
+        return this.stop === undefined && this.reader.getTable() !== undefined
             && !this.reader.isBehind(performance.now());
     }
 
     countInFlight(): Record<string, number> {
-        return { requests: this.forwarder.countActive() };
+        return { requests: this.connections.countUnfinished() };
     }
 
     /** Fails the readiness check, serves requests that still arrive, and resolves when all have ended or time is up. */
     async drain(): Promise<void> {
-        const startedAt = performance.now();
-        this.stoppingSince = startedAt;
-        for (;;) {
-            const sinceMs = performance.now() - startedAt;
-            const isOutOfRotation = sinceMs > this.stopPlan.acceptAllUntilMs;
-            if (sinceMs >= this.stopPlan.endMs || (isOutOfRotation && this.forwarder.countActive() === 0)) {
-                return;
-            }
-            if (isOutOfRotation) {
-                // A caller with an idle connection detects the stop only when the connection closes.
-                this.server.closeIdleConnections();
-            }
-            await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
-        }
+        const { stopPlan: plan, connections, forwarder } = this;
+        this.stop = new GatewayStop({ plan, connections, forwarder });
+        await this.stop.complete();
     }
 
     close(): Promise<void> {
@@ -194,9 +203,10 @@
         this.tracker.close();
         this.limits.close();
         clearInterval(this.staleTimer);
+        this.connections.closeAll(CloseReason.StopEnded);
         this.server.close();
         this.readyServer.close();
-        this.server.closeAllConnections();
+        this.readyServer.closeAllConnections();
         this.readyServer.closeAllConnections();
         return Promise.resolve();
     }
@@ -210,6 +220,7 @@
         // Node ends the process on an error event without a listener. The response's close event handles disconnects.
         request.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
         response.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
+        this.connections.addRequest(request, response);
         this.forwarder.forward(request, response);
     }
 
@@ -263,13 +274,13 @@
         }
         void this.reader.watch(link);
         link.call({ kind: "watchEndpoints" })
-            .then(answer => this.recordFacts(answer as ControlAnswer))
+            .then(answer => this.recordFacts(answer as ControlAnswer, link))
             .catch(error => link.close(`no endpoints: ${describeError(error)}`));
     }
 
-    private recordFacts(answer: ControlAnswer): void {
+    private recordFacts(answer: ControlAnswer, link: Link): void {
         if (answer.kind === "endpoints") {
-            this.tracker.record(answer.facts, performance.now());
+            this.tracker.record(answer.facts, performance.now(), link.peer?.id);
         }
     }
 
@@ -278,7 +289,7 @@
             this.reader.recordRevision(link, message.revision);
         }
         else if (message.kind === "endpointFacts") {
-            this.tracker.record(message.facts, performance.now());
+            this.tracker.record(message.facts, performance.now(), link.peer?.id);
         }
         else if (message.kind === "endpointLimits") {
             this.limits.record(message.facts, performance.now());
