Let a begun stream that an endpoint rejects wait for a retry

What callers saw: streams that were closed in the middle although every endpoint was sound: the first was silent for a while, the next one rejected the stream since it was full.

Cause: a rejection without a retry left ends a request at once. That is right before its first byte, where the refusal is true and the caller can return; a stream that has begun can only be closed.

A stream that has begun now waits, and tries again each 250 ms if the budget has a retry, also at endpoints that rejected it before, until its deadline.

Evidence: endpointSilence.feature, virtual time: the new scenario failed before (closed after event 3) and passes now, with 35 of 35 of the features of this folder's streams and stops.

--- a/packages/gateway/src/endpointSilence.feature
+++ b/packages/gateway/src/endpointSilence.feature
@@ -52,3 +52,13 @@
         And a caller that has sent a request
         When the gateway stands still for 9000 ms, and then reads the answers
         Then each caller has an answer with status 200
+
+    # Guards against streams that are taken from a silent endpoint and closed because the next one is full.
+    Scenario: A stream that the next endpoint rejects waits until one takes it
+        Given a gateway with 2 endpoints, 1 retry, 2 more a second from 5000 ms on, and resumable streams
+        And 1 callers that have received events 1 to 3
+        When the endpoints send nothing for 1600 ms
+        And the next endpoint rejects the stream
+        And the endpoints send nothing for 4000 ms
+        And they complete their streams with event 6
+        Then each caller has received events 1 to 6 and the end of its stream
--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -109,6 +109,11 @@
     await getHarness().settle();
 });
 
+When("the next endpoint rejects the stream", async () => {
+    listOpenAttempts().forEach(attempt => sendAnswer(attempt, 503, "", { "not-run": "1" }));
+    await getHarness().settle();
+});
+
 When("they answer with status {int}", async (status: number) => {
     listOpenAttempts().forEach(attempt => sendAnswer(attempt, status, "answer"));
     await getHarness().settle();
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -28,7 +28,7 @@
 /** Limits of one event and of what a caller has not read, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
-/** Interval between searches for an endpoint in place of a silent one, in milliseconds. */
+/** Interval between searches for another endpoint while a stream waits for one, in milliseconds. */
 const REPLACEMENT_CHECK_MS = 250;
 const FIRST_SERVER_ERROR = 500;
 /** Cause of the end of a request with a complete answer of an endpoint. */
@@ -37,6 +37,8 @@
 /** Forwards one request, whose body is complete, until the caller has its final response. */
 export class ForwardedRequest {
     private readonly triedKeys = new Set<string>();
+    /** Endpoints that have rejected the request without running it. */
+    private readonly rejectedKeys = new Set<string>();
     private attempt: RunningAttempt | undefined;
     private readonly subjects: RequestSubjects;
     /** Record of the quarantine by which the request is refused. */
@@ -143,6 +145,20 @@
         this.cancelWait = this.options.limits.waitForPermits(choose);
     }
 
+    /** Waits for a retry of a stream that has begun: closing its connection would waste what its caller has. */
+    private waitForRetry(): void {
+        this.choiceTimer = setTimeout(() => {
+            if (!this.retries.takeRetryOfStream()) {
+                this.waitForRetry();
+                return;
+            }
+            // An endpoint that was full may have room now.
+            this.rejectedKeys.forEach(key => this.triedKeys.delete(key));
+            this.rejectedKeys.clear();
+            this.sendNext();
+        }, REPLACEMENT_CHECK_MS);
+    }
+
     private stopWaiting(): void {
         clearTimeout(this.choiceTimer);
         this.cancelWait?.();
@@ -434,11 +450,16 @@
     /** Handles a rejection: the endpoint guarantees that it has not run the request. */
     private handleRejection(attempt: RunningAttempt): void {
         const hasRetry = this.retries.takeRetryAfterRejection();
+        this.rejectedKeys.add(attempt.endpoint.key);
         this.recorder.recordAttempt(attempt, "turned-away", this.lastEventId);
         if (hasRetry) {
             this.sendNext();
             return;
         }
+        if (this.answer.hasBegun()) {
+            this.waitForRetry();
+            return;
+        }
         this.finishWithoutResponse(this.chooser.findPauseRefusal(performance.now()) ?? RefusalCause.NoRoom);
     }
 
--- a/packages/gateway/src/retryAllowance.ts
+++ b/packages/gateway/src/retryAllowance.ts
@@ -79,6 +79,11 @@
         return this.decide(this.rejections < MAX_REJECTIONS ? undefined : NoRetry.Rejections);
     }
 
+    /** Takes a retry for a stream that has begun and that endpoints have rejected; `false` if there is none. */
+    takeRetryOfStream(): boolean {
+        return this.decide(this.hasTime() ? undefined : NoRetry.Time);
+    }
+
     /** Takes a retry after an attempt that may have run; `false` if there is none. */
     takeRetry(): boolean {
         return this.decide(this.findObstacle(undefined));
@@ -91,7 +96,7 @@
 
     /** Finds what forbids a retry, once the endpoint that runs the request now, if there is one, counts as well. */
     private findObstacle(running: { isEndpointLost: boolean } | undefined): NoRetryValue | undefined {
-        const { route, timing } = this.options;
+        const { route } = this.options;
         if (!this.isRepeatable()) {
             return NoRetry.NotRepeatable;
         }
@@ -103,7 +108,11 @@
         if (used >= route.maxEndpoints || lost >= MAX_LOST_ENDPOINTS) {
             return NoRetry.Endpoints;
         }
-        return timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS ? undefined : NoRetry.Time;
+        return this.hasTime() ? undefined : NoRetry.Time;
+    }
+
+    private hasTime(): boolean {
+        return this.options.timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS;
     }
 
     /** Takes a retry out of the budget unless there is an obstacle. */
