Complete the stop of each role though another one fails

What callers saw: possibly requests that ended without an answer at a stop. One role that failed to drain rejected the whole stop, which ended the process at once (process-failed) with what the other roles were completing; one that failed to close left the others open.

Each step of each role's stop is now completed by itself; a failure is logged as role-not-stopped.

Evidence: kernelStop.feature, virtual time: 2 of 2 scenarios failed before, 2 pass.

--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -1,4 +1,4 @@
-import { KumquathallError } from "@kumquathall/errors";
+import { describeError, KumquathallError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
 import { collectDefaultMetrics, Registry } from "prom-client";
 import type { DaemonSettings } from "./daemonSettings.js";
@@ -91,14 +91,25 @@
 
     private async drainAndClose(): Promise<void> {
         this.options.logger.info("stopping", { process: this.options.settings.id });
-        await Promise.all(this.roles.map(role => role.drain()));
+        await Promise.all(this.roles.map(role => this.completeStep("drain", () => role.drain())));
         await this.close();
         this.options.logger.info("stopped", { process: this.options.settings.id });
     }
 
+    /** Completes a step of a role's stop. One that fails is logged, so that the other roles still complete their work. */
+    private async completeStep(step: string, run: () => Promise<void>): Promise<void> {
+        try {
+            await run();
+        }
+        catch (error) {
+            const { logger, settings } = this.options;
+            logger.error("role-not-stopped", { process: settings.id, step, message: describeError(error) });
+        }
+    }
+
     private async close(): Promise<void> {
         for (const role of [...this.roles].reverse()) {
-            await role.close();
+            await this.completeStep("close", () => role.close());
         }
         await this.operations?.close();
         this.tlsFiles?.close();
