--- a/packages/endpoint-registry/src/index.ts
+++ b/packages/endpoint-registry/src/index.ts
@@ -6,3 +6,11 @@
     FactEffect,
     type FactEffectValue,
 } from "./endpointRegistry.js";
+export {
+    FactLimits,
+    findFactFault,
+    isEndpointAddress,
+    isEndpointId,
+    isFactName,
+    isSocketAddress,
+} from "./findFactFault.js";
--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -98,7 +98,7 @@
 
 Then("no request was sent to another endpoint", () => {
     const sent = getHarness().endpoints.flatMap(endpoint => endpoint.attempts);
-    deepStrictEqual(sent.map(attempt => attempt.request.headers["after-event"]), callers.map(() => undefined));
+    deepStrictEqual(sent.map(attempt => attempt.request.headers["resume-after"]), callers.map(() => undefined));
 });
 
 When("they complete their streams with event {int}", async (last: number) => {
@@ -132,7 +132,7 @@
 });
 
 Then("{int} streams have gone on at the other endpoint", (count: number) => {
-    const resumed = listOpenAttempts().map(attempt => attempt.request.headers["after-event"]);
+    const resumed = listOpenAttempts().map(attempt => attempt.request.headers["resume-after"]);
     deepStrictEqual(resumed, Array.from({ length: count }, () => "3"));
 });
 
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -3,12 +3,13 @@
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
-import { listRawHeaders } from "./endpointPool.js";
+import { isMalformed, listRawHeaders } from "./endpointPool.js";
 import type { SentRequest, TrackedEndpoint } from "./endpointTracker.js";
-import { EventStreamParser } from "./eventStreamParser.js";
+import { EventStreamParser, MAX_EVENT_BYTES } from "./eventStreamParser.js";
 import type { ForwardedRequestOptions } from "./forwardedRequestOptions.js";
 import { HeldAnswer } from "./heldAnswer.js";
 import { IncompleteCause, type IncompleteCauseValue } from "./incompleteCause.js";
+import { InvalidResponseReason, type InvalidResponseReasonValue } from "./invalidResponses.js";
 import { describeQuarantine } from "./quarantineList.js";
 import { type Refusal, RefusalCause } from "./refusal.js";
 import { RequestRecorder } from "./requestRecorder.js";
@@ -25,9 +26,6 @@
 const AVOID_AFTER_FAILURE_MS = 500;
 /** Endpoints serve priority 0 first and 9 last. Requests that miss their objective yield to those that can meet it. */
 const LATE_PRIORITY = 8;
-/** Limits of one event and of what a caller has not read, in bytes. */
-const MAX_EVENT_BYTES = 1024 * 1024;
-const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
 /** Interval between searches for another endpoint while a stream waits for one, in milliseconds. */
 const REPLACEMENT_CHECK_MS = 250;
 const FIRST_SERVER_ERROR = 500;
@@ -68,7 +66,7 @@
 
     constructor(private readonly options: ForwardedRequestOptions) {
         const { head, route, arrivedAt, response } = options;
-        this.answer = new CallerResponse({ response, codec: options.codec, requestId: head.requestId });
+        this.answer = new CallerResponse({ ...options, requestId: head.requestId });
         this.recorder = new RequestRecorder(options);
         this.chooser = new EndpointChooser(options);
         this.subjects = new RequestSubjects({
@@ -94,6 +92,12 @@
         this.sendNext();
     }
 
+    private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
+        const { invalidResponses, head } = this.options;
+        const endpoint = attempt.endpoint.view.id;
+        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status: attempt.status });
+    }
+
     /** Gives the request its final answer, since the process ends. A response that has begun can only be cut off. */
     endForStop(): void {
         if (this.isFinished) {
@@ -210,7 +214,7 @@
         const attempt: RunningAttempt = {
             endpoint,
             sent,
-            parser: new EventStreamParser(),
+            parser: new EventStreamParser(this.options.answerBytes),
             isContinuation: this.answer.hasBegun(),
             responseHead: undefined,
             status: 0,
@@ -223,6 +227,7 @@
         this.attempt = attempt;
         this.stallTimer.start(this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
         endpoint.inFlight.add(sent);
+        this.options.invalidResponses.watch(endpoint);
         attempt.handle = endpoint.pool.send(
             {
                 method: request.method ?? "GET",
@@ -296,7 +301,12 @@
         }
         const isForeign = responseHead.requestId !== undefined && responseHead.requestId !== head.requestId;
         const isInvalid = (status < 300 && !responseHead.isSigned && !responseHead.isNotRun) || responseHead.isEncoded;
+        if (responseHead.requestId === undefined && head.requestId !== undefined) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.NoId);
+        }
         if (isForeign || isInvalid) {
+            const reason = responseHead.isEncoded ? InvalidResponseReason.Encoded : InvalidResponseReason.Unsigned;
+            this.recordInvalidResponse(attempt, isForeign ? InvalidResponseReason.OtherRequest : reason);
             this.abandon(
                 attempt,
                 isForeign ? "the response has another request's id" : "the response is not signed or is encoded",
@@ -318,10 +328,12 @@
         if (!this.isStream(attempt)) {
             this.recordFirstContent(attempt);
             if (!attempt.answer.add(chunk)) {
+                this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
                 this.abandon(attempt, "the response has more bytes than may be held");
             }
             return;
         }
+        let isBehind = false;
         for (const event of attempt.parser.push(chunk)) {
             const isNext = event.id !== undefined && event.id > (this.lastEventId ?? Number.NEGATIVE_INFINITY);
             if (attempt.isContinuation && !event.isComment && !isNext) {
@@ -335,12 +347,19 @@
                 this.retries.recordUnidentifiedEvent();
             }
             this.lastEventId = event.id ?? this.lastEventId;
-            this.answer.writeEvent(event.bytes);
+            isBehind = !this.answer.writeEvent(event.bytes);
+            if (isBehind) {
+                break;
+            }
         }
-        if (attempt.parser.getIncompleteBytes().length > MAX_EVENT_BYTES) {
-            this.abandon(attempt, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
+        if (attempt.parser.hasExceededLimit()) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
+            this.abandon(
+                attempt,
+                `an event is larger than ${MAX_EVENT_BYTES} bytes, or all responses hold as much as they may`,
+            );
         }
-        else if (this.answer.countUnreadBytes() > MAX_UNREAD_BYTES) {
+        else if (isBehind) {
             this.abortUnfinished(attempt);
             this.incomplete = IncompleteCause.CallerBehind;
             this.finishWithoutResponse(RefusalCause.CallerBehind);
@@ -357,13 +376,15 @@
         if (this.attempt !== attempt) {
             return;
         }
+        const body = attempt.answer.getBody();
+        const endsInsideEvent = attempt.parser.countIncompleteBytes() > 0;
         this.release(attempt);
         if (attempt.responseHead?.isNotRun === true || attempt.status === STATUS_MISDIRECTED) {
             this.handleRejection(attempt);
             return;
         }
         if (this.isStream(attempt)) {
-            if (attempt.parser.getIncompleteBytes().length > 0) {
+            if (endsInsideEvent) {
                 this.handleIncompleteResponse(attempt, "the stream ends inside an event");
                 return;
             }
@@ -389,7 +410,7 @@
             this.sendNext();
             return;
         }
-        this.deliverResponse(attempt);
+        this.deliverResponse(attempt, body);
     }
 
     private handleFailure(attempt: RunningAttempt, error: Error, isSent: boolean): void {
@@ -402,6 +423,9 @@
             this.handleRejection(attempt);
             return;
         }
+        if (isMalformed(error)) {
+            this.recordInvalidResponse(attempt, InvalidResponseReason.Malformed);
+        }
         this.handleIncompleteResponse(attempt, error.message);
     }
 
@@ -506,8 +530,7 @@
         this.answer.writeHead(attempt.status, attempt.headers);
     }
 
-    private deliverResponse(attempt: RunningAttempt): void {
-        const body = attempt.answer.getBody();
+    private deliverResponse(attempt: RunningAttempt, body: Buffer): void {
         this.finish(attempt.status, SERVED, () => this.answer.deliver(attempt.status, attempt.headers, body));
     }
 
@@ -515,6 +538,7 @@
         this.attempt = undefined;
         this.lastDataAt = attempt.lastDataAt;
         attempt.answer.close();
+        attempt.parser.close();
         this.stallTimer.stop();
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
             attempt.endpoint.endedSinceReport++;
