--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -43,7 +43,7 @@
     return Array.from({ length: EVENTS }, (_, at) => formatEvent(at + 1)).join("");
 }
 
-After({ tags: "@endpoint-silence or @stream-continuation" }, () => {
+After({ tags: "@endpoint-silence or @stream-continuation or @request-failure" }, () => {
     harness?.close();
     harness = undefined;
     clock?.uninstall();
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -42,6 +42,7 @@
 export class ForwardingHarness {
     readonly endpoints: ScriptedEndpoint[];
     readonly lines: string[] = [];
+    readonly codec = new PlainHeaderCodec();
     readonly connections: CallerConnections;
     readonly forwarder: Forwarder;
     readonly tracker: EndpointTracker;
@@ -85,7 +86,7 @@
                 countGateways: () => 1,
             }),
             connections: this.connections,
-            codec: new PlainHeaderCodec(),
+            codec: this.codec,
             logger,
             metrics,
             getTable: () => table,
