Apply a raised idle limit to connections that are idle already

What callers saw: possibly kept connections that closed earlier than the configuration in force allows, with a request on its way.

Cause: Node sets the idle time of a connection as a response ends; a change of the limit held only from the next response on.

A longer limit now holds at once. A shorter one still holds from the next request of each connection on: callers that don't know of it yet keep theirs.

--- a/packages/gateway/src/callerConnections.feature
+++ b/packages/gateway/src/callerConnections.feature
@@ -36,3 +36,17 @@
         When the caller sends garbage
         Then the caller has one answer with status 400
         And its connection is closed
+
+    # Guards against connections that close within the time for which the configuration in force lets callers keep them.
+    Scenario: A raised idle limit holds for connections that are idle already
+        Given a gateway with a connection of a caller
+        And an answer to a first request
+        When the idle limit is raised to 20000 ms
+        Then the connection may be idle for at least 20000 ms
+
+    # Guards against connections that close earlier than callers who don't know of the change yet expect.
+    Scenario: A lowered idle limit holds only from the next request on
+        Given a gateway with a connection of a caller
+        And an answer to a first request
+        When the idle limit is lowered to 2000 ms
+        Then the connection may be idle for at least 5000 ms
--- a/packages/gateway/src/callerConnections.steps.ts
+++ b/packages/gateway/src/callerConnections.steps.ts
@@ -60,6 +60,15 @@
     await harness.settle();
 });
 
+When(
+    /^the idle limit is (?:raised|lowered) to (\d+) ms$/,
+    (ms: string) => harness.connections.applyIdleLimit(Number(ms)),
+);
+
+Then("the connection may be idle for at least {int} ms", (ms: number) => {
+    ok(caller.idleLimitMs >= ms, `it is closed after ${caller.idleLimitMs} ms`);
+});
+
 When("the endpoint answers with status 200", answer);
 
 Then("the request reaches the endpoint", () => strictEqual(harness.endpoints[0].listOpenAttempts().length, 1));
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -42,6 +42,8 @@
 interface Connection {
     /** Responses that have not left the process, oldest first. */
     unfinished: Set<ServerResponse>;
+    /** A response has left the process; the idle limit holds from then on. */
+    hasServed: boolean;
     closeReason: CloseReasonValue | undefined;
     /** Why it is closed once the requests that were read whole have their answers. */
     closesFor: CloseReasonValue | undefined;
@@ -79,6 +81,7 @@
         unfinished.add(response);
         response.on("close", () => {
             unfinished.delete(response);
+            connection.hasServed = true;
             if (connection.closesFor !== undefined && !hasWholeRequest(connection)) {
                 this.close(socket, connection.closesFor);
             }
@@ -106,6 +109,21 @@
         return this.connections.get(request.socket)?.closeReason;
     }
 
+    /**
+     * Sets how long connections may be idle, in milliseconds. A longer time holds at once, also for connections that are
+     * idle; a shorter one from the next request of each connection on, since callers may not know of it yet.
+     */
+    applyIdleLimit(limitMs: number): void {
+        const { server } = this.options;
+        const isLonger = limitMs > server.keepAliveTimeout;
+        server.keepAliveTimeout = limitMs;
+        for (const [socket, { unfinished, hasServed }] of this.connections) {
+            if (isLonger && hasServed && unfinished.size === 0) {
+                socket.setTimeout(limitMs);
+            }
+        }
+    }
+
     /** Closes a connection at once. Responses that have not left the process are lost. */
     close(socket: Socket, reason: CloseReasonValue): void {
         this.recordClose(socket, reason);
@@ -128,7 +146,12 @@
     }
 
     private addSocket(socket: Socket): void {
-        this.connections.set(socket, { unfinished: new Set(), closeReason: undefined, closesFor: undefined });
+        this.connections.set(socket, {
+            unfinished: new Set(),
+            hasServed: false,
+            closeReason: undefined,
+            closesFor: undefined,
+        });
         // Responses report the close of their connection in the same turn, and ask for its reason.
         socket.on("close", () => setImmediate(() => this.connections.delete(socket)));
     }
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -245,7 +245,7 @@
             return;
         }
         this.server.headersTimeout = limits.headerTimeoutMs;
-        this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+        this.connections.applyIdleLimit(limits.idleTimeoutMs + IDLE_MARGIN_MS);
     }
 
     private applyQuarantine(update: ConfigurationUpdate): void {
--- a/packages/gateway/src/testing/callerSocket.ts
+++ b/packages/gateway/src/testing/callerSocket.ts
@@ -4,6 +4,8 @@
 export class CallerSocket extends Duplex {
     /** What the gateway has written and the caller has read. */
     received = "";
+    /** Idle time after which the connection is closed, in milliseconds; 0 for none. */
+    idleLimitMs = 0;
     private isReading = true;
     private readonly unread: { text: string; confirm: () => void }[] = [];
 
@@ -16,6 +18,12 @@
         this.on("error", () => undefined);
     }
 
+    /** Called by the HTTP server, as for a socket. */
+    setTimeout(idleLimitMs: number): this {
+        this.idleLimitMs = idleLimitMs;
+        return this;
+    }
+
     /** Sends bytes to the gateway. */
     send(text: string): void {
         this.push(text);
