--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -44,7 +44,7 @@
     return Array.from({ length: EVENTS }, (_, at) => formatEvent(at + 1)).join("");
 }
 
-After({ tags: "@endpoint-silence or @stream-continuation" }, () => {
+After({ tags: "@endpoint-silence or @stream-continuation or @request-failure" }, () => {
     harness?.close();
     harness = undefined;
     clock?.uninstall();
@@ -99,7 +99,7 @@
 
 Then("no request was sent to another endpoint", () => {
     const sent = getHarness().endpoints.flatMap(endpoint => endpoint.attempts);
-    deepStrictEqual(sent.map(attempt => attempt.request.headers["after-event"]), callers.map(() => undefined));
+    deepStrictEqual(sent.map(attempt => attempt.request.headers["resume-after"]), callers.map(() => undefined));
 });
 
 When("another endpoint announces the address of its endpoint", async () => {
@@ -116,6 +116,11 @@
     await getHarness().settle();
 });
 
+When("the next endpoint rejects the stream", async () => {
+    listOpenAttempts().forEach(attempt => sendAnswer(attempt, 503, "", { "not-run": "1" }));
+    await getHarness().settle();
+});
+
 When("they answer with status {int}", async (status: number) => {
     listOpenAttempts().forEach(attempt => sendAnswer(attempt, status, "answer"));
     await getHarness().settle();
@@ -134,7 +139,7 @@
 });
 
 Then("{int} streams have gone on at the other endpoint", (count: number) => {
-    const resumed = listOpenAttempts().map(attempt => attempt.request.headers["after-event"]);
+    const resumed = listOpenAttempts().map(attempt => attempt.request.headers["resume-after"]);
     deepStrictEqual(resumed, Array.from({ length: count }, () => "3"));
 });
 
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -2,6 +2,7 @@
 import { RequestKind, type SuspectRecord } from "@kumquathall/types";
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
+import { describeFailure } from "./describeFailure.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
 import { isMalformed, listRawHeaders } from "./endpointPool.js";
 import type { SentRequest, TrackedEndpoint } from "./endpointTracker.js";
@@ -26,7 +27,7 @@
 const AVOID_AFTER_FAILURE_MS = 500;
 /** Endpoints serve priority 0 first and 9 last. Requests that miss their objective yield to those that can meet it. */
 const LATE_PRIORITY = 8;
-/** Interval between searches for an endpoint in place of a silent one, in milliseconds. */
+/** Interval between searches for another endpoint while a stream waits for one, in milliseconds. */
 const REPLACEMENT_CHECK_MS = 250;
 const FIRST_SERVER_ERROR = 500;
 /** Cause of the end of a request with a complete answer of an endpoint. */
@@ -35,6 +36,8 @@
 /** Forwards one request, whose body is complete, until the caller has its final response. */
 export class ForwardedRequest {
     private readonly triedKeys = new Set<string>();
+    /** Endpoints that have rejected the request without running it. */
+    private readonly rejectedKeys = new Set<string>();
     private attempt: RunningAttempt | undefined;
     private readonly subjects: RequestSubjects;
     /** Record of the quarantine by which the request is refused. */
@@ -79,15 +82,56 @@
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
         this.lastEventId = head.lastEventId;
-        this.deadlineTimer = new PeerTimer({ onExpire: () => this.handleDeadline(), allowsForStalls: false });
+        this.deadlineTimer = new PeerTimer({
+            onExpire: () => this.runStep(() => this.handleDeadline()),
+            allowsForStalls: false,
+        });
         this.deadlineTimer.start(this.timing.getRemainingMs(performance.now()));
-        this.stallTimer = new PeerTimer({ onExpire: () => this.handleSilence() });
-        response.on("close", () => this.handleCallerDisconnect());
+        this.stallTimer = new PeerTimer({ onExpire: () => this.runStep(() => this.handleSilence()) });
+        response.on("close", () => this.runStep(() => this.handleCallerDisconnect()));
     }
 
     start(): void {
-        this.options.budget.recordRequest();
-        this.sendNext();
+        this.runStep(() => {
+            this.options.budget.recordRequest();
+            this.sendNext();
+        });
+    }
+
+    /** Runs one step of the request. An error ends this request, not the process with all others. */
+    private runStep(step: () => void): void {
+        try {
+            step();
+        }
+        catch (error) {
+            const { logger, head } = this.options;
+            logger.error("request-failed", { requestId: head.requestId, ...describeFailure(error) });
+            this.handleError();
+        }
+    }
+
+    private handleError(): void {
+        if (this.isFinished) {
+            return;
+        }
+        try {
+            this.abortForGood();
+            this.finishWithoutResponse(RefusalCause.GatewayError);
+        }
+        catch {
+            // What failed may be needed for the answer as well.
+            this.options.connections.close(this.options.request.socket, CloseReason.Incomplete);
+            this.isFinished = true;
+            this.options.onEnd();
+        }
+    }
+
+    /** Aborts the attempt in flight of a request that ends. */
+    private abortForGood(): void {
+        if (this.attempt !== undefined) {
+            this.retries.mayHaveRun ||= this.attempt.handle.isWritten();
+            this.abortUnfinished(this.attempt);
+        }
     }
 
     private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
@@ -101,10 +145,7 @@
         if (this.isFinished) {
             return;
         }
-        if (this.attempt !== undefined) {
-            this.retries.mayHaveRun ||= this.attempt.handle.isWritten();
-            this.abortUnfinished(this.attempt);
-        }
+        this.abortForGood();
         this.incomplete = IncompleteCause.StopEnded;
         this.finishWithoutResponse(this.retries.mayHaveRun ? RefusalCause.StopEnded : RefusalCause.Stopping);
     }
@@ -139,14 +180,30 @@
 
     /** Chooses again after `waitMs`, or once control has granted permits. */
     private waitForPermit(waitMs: number): void {
-        const choose = () => {
-            this.stopWaiting();
-            this.sendNext();
-        };
+        const choose = () =>
+            this.runStep(() => {
+                this.stopWaiting();
+                this.sendNext();
+            });
         this.choiceTimer = setTimeout(choose, waitMs);
         this.cancelWait = this.options.limits.waitForPermits(choose);
     }
 
+    /** Waits for a retry of a stream that has begun: closing its connection would waste what its caller has. */
+    private waitForRetry(): void {
+        const retry = () => {
+            if (!this.retries.takeRetryOfStream()) {
+                this.waitForRetry();
+                return;
+            }
+            // An endpoint that was full may have room now.
+            this.rejectedKeys.forEach(key => this.triedKeys.delete(key));
+            this.rejectedKeys.clear();
+            this.sendNext();
+        };
+        this.choiceTimer = setTimeout(() => this.runStep(retry), REPLACEMENT_CHECK_MS);
+    }
+
     private stopWaiting(): void {
         clearTimeout(this.choiceTimer);
         this.cancelWait?.();
@@ -185,8 +242,9 @@
             headAt: undefined,
             firstContentAt: undefined,
             describe: () => this.subjects.describe(),
-            onLost: (reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost),
-            onClosed: () => this.takeBack(attempt),
+            onLost: (reason, isEndpointLost) =>
+                this.runStep(() => this.handleEndpointLost(attempt, reason, isEndpointLost)),
+            onClosed: () => this.runStep(() => this.takeBack(attempt)),
         };
         const headers = codec.encodeForwardedRequest(listRawHeaders(request.rawHeaders), {
             remainingMs: Math.floor(remainingMs),
@@ -221,10 +279,11 @@
                 isRepeatable: this.retries.isRepeatable(),
             },
             {
-                onHead: (status, responseHeaders) => this.handleHead(attempt, status, responseHeaders),
-                onData: chunk => this.handleData(attempt, chunk),
-                onEnd: () => this.handleEnd(attempt),
-                onFailure: (error, isSent) => this.handleFailure(attempt, error, isSent),
+                onHead: (status, responseHeaders) =>
+                    this.runStep(() => this.handleHead(attempt, status, responseHeaders)),
+                onData: chunk => this.runStep(() => this.handleData(attempt, chunk)),
+                onEnd: () => this.runStep(() => this.handleEnd(attempt)),
+                onFailure: (error, isSent) => this.runStep(() => this.handleFailure(attempt, error, isSent)),
             },
         );
     }
@@ -458,11 +517,16 @@
     /** Handles a rejection: the endpoint guarantees that it has not run the request. */
     private handleRejection(attempt: RunningAttempt): void {
         const hasRetry = this.retries.takeRetryAfterRejection();
+        this.rejectedKeys.add(attempt.endpoint.key);
         this.recorder.recordAttempt(attempt, "turned-away", this.lastEventId);
         if (hasRetry) {
             this.sendNext();
             return;
         }
+        if (this.answer.hasBegun()) {
+            this.waitForRetry();
+            return;
+        }
         this.finishWithoutResponse(this.chooser.findPauseRefusal(performance.now()) ?? RefusalCause.NoRoom);
     }
 
