--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -44,7 +44,7 @@
     return Array.from({ length: EVENTS }, (_, at) => formatEvent(at + 1)).join("");
 }
 
-After({ tags: "@endpoint-silence or @stream-continuation or @request-failure" }, () => {
+After({ tags: "@endpoint-silence or @stream-continuation" }, () => {
     harness?.close();
     harness = undefined;
     clock?.uninstall();
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -2,7 +2,6 @@
 import { RequestKind, type SuspectRecord } from "@kumquathall/types";
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
-import { describeFailure } from "./describeFailure.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
 import { isMalformed, listRawHeaders } from "./endpointPool.js";
 import type { SentRequest, TrackedEndpoint } from "./endpointTracker.js";
@@ -82,56 +81,15 @@
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
         this.lastEventId = head.lastEventId;
-        this.deadlineTimer = new PeerTimer({
-            onExpire: () => this.runStep(() => this.handleDeadline()),
-            allowsForStalls: false,
-        });
+        this.deadlineTimer = new PeerTimer({ onExpire: () => this.handleDeadline(), allowsForStalls: false });
         this.deadlineTimer.start(this.timing.getRemainingMs(performance.now()));
-        this.stallTimer = new PeerTimer({ onExpire: () => this.runStep(() => this.handleSilence()) });
-        response.on("close", () => this.runStep(() => this.handleCallerDisconnect()));
+        this.stallTimer = new PeerTimer({ onExpire: () => this.handleSilence() });
+        response.on("close", () => this.handleCallerDisconnect());
     }
 
     start(): void {
-        this.runStep(() => {
-            this.options.budget.recordRequest();
-            this.sendNext();
-        });
-    }
-
-    /** Runs one step of the request. An error ends this request, not the process with all others. */
-    private runStep(step: () => void): void {
-        try {
-            step();
-        }
-        catch (error) {
-            const { logger, head } = this.options;
-            logger.error("request-failed", { requestId: head.requestId, ...describeFailure(error) });
-            this.handleError();
-        }
-    }
-
-    private handleError(): void {
-        if (this.isFinished) {
-            return;
-        }
-        try {
-            this.abortForGood();
-            this.finishWithoutResponse(RefusalCause.GatewayError);
-        }
-        catch {
-            // What failed may be needed for the answer as well.
-            this.options.connections.close(this.options.request.socket, CloseReason.Incomplete);
-            this.isFinished = true;
-            this.options.onEnd();
-        }
-    }
-
-    /** Aborts the attempt in flight of a request that ends. */
-    private abortForGood(): void {
-        if (this.attempt !== undefined) {
-            this.retries.mayHaveRun ||= this.attempt.handle.isWritten();
-            this.abortUnfinished(this.attempt);
-        }
+        this.options.budget.recordRequest();
+        this.sendNext();
     }
 
     private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
@@ -145,7 +103,10 @@
         if (this.isFinished) {
             return;
         }
-        this.abortForGood();
+        if (this.attempt !== undefined) {
+            this.retries.mayHaveRun ||= this.attempt.handle.isWritten();
+            this.abortUnfinished(this.attempt);
+        }
         this.incomplete = IncompleteCause.StopEnded;
         this.finishWithoutResponse(this.retries.mayHaveRun ? RefusalCause.StopEnded : RefusalCause.Stopping);
     }
@@ -180,18 +141,17 @@
 
     /** Chooses again after `waitMs`, or once control has granted permits. */
     private waitForPermit(waitMs: number): void {
-        const choose = () =>
-            this.runStep(() => {
-                this.stopWaiting();
-                this.sendNext();
-            });
+        const choose = () => {
+            this.stopWaiting();
+            this.sendNext();
+        };
         this.choiceTimer = setTimeout(choose, waitMs);
         this.cancelWait = this.options.limits.waitForPermits(choose);
     }
 
     /** Waits for a retry of a stream that has begun: closing its connection would waste what its caller has. */
     private waitForRetry(): void {
-        const retry = () => {
+        this.choiceTimer = setTimeout(() => {
             if (!this.retries.takeRetryOfStream()) {
                 this.waitForRetry();
                 return;
@@ -200,8 +160,7 @@
             this.rejectedKeys.forEach(key => this.triedKeys.delete(key));
             this.rejectedKeys.clear();
             this.sendNext();
-        };
-        this.choiceTimer = setTimeout(() => this.runStep(retry), REPLACEMENT_CHECK_MS);
+        }, REPLACEMENT_CHECK_MS);
     }
 
     private stopWaiting(): void {
@@ -242,9 +201,8 @@
             headAt: undefined,
             firstContentAt: undefined,
             describe: () => this.subjects.describe(),
-            onLost: (reason, isEndpointLost) =>
-                this.runStep(() => this.handleEndpointLost(attempt, reason, isEndpointLost)),
-            onClosed: () => this.runStep(() => this.takeBack(attempt)),
+            onLost: (reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost),
+            onClosed: () => this.takeBack(attempt),
         };
         const headers = codec.encodeForwardedRequest(listRawHeaders(request.rawHeaders), {
             remainingMs: Math.floor(remainingMs),
@@ -279,11 +237,10 @@
                 isRepeatable: this.retries.isRepeatable(),
             },
             {
-                onHead: (status, responseHeaders) =>
-                    this.runStep(() => this.handleHead(attempt, status, responseHeaders)),
-                onData: chunk => this.runStep(() => this.handleData(attempt, chunk)),
-                onEnd: () => this.runStep(() => this.handleEnd(attempt)),
-                onFailure: (error, isSent) => this.runStep(() => this.handleFailure(attempt, error, isSent)),
+                onHead: (status, responseHeaders) => this.handleHead(attempt, status, responseHeaders),
+                onData: chunk => this.handleData(attempt, chunk),
+                onEnd: () => this.handleEnd(attempt),
+                onFailure: (error, isSent) => this.handleFailure(attempt, error, isSent),
             },
         );
     }
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -4,7 +4,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type CallerConnections, CloseReason } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
-import { describeFailure } from "./describeFailure.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
 import { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
@@ -13,7 +12,7 @@
 import { InvalidResponses } from "./invalidResponses.js";
 import type { GatewayMetrics } from "./metrics.js";
 import { describeQuarantine, formatSuspect, type QuarantineList } from "./quarantineList.js";
-import { type BodyOutcome, readBody } from "./readBody.js";
+import { readBody } from "./readBody.js";
 import { type Refusal, RefusalCause, refuse } from "./refusal.js";
 import { RequestAgeEstimator } from "./requestAgeEstimator.js";
 import { chooseTarget, type RouteTable } from "./routeTable.js";
@@ -100,26 +99,7 @@
         [...this.active].forEach(forwarded => forwarded.endForStop());
     }
 
-    /** Forwards a request. An error on its way ends this request, not the process with all others. */
     forward(request: IncomingMessage, response: ServerResponse): void {
-        try {
-            this.accept(request, response);
-        }
-        catch (error) {
-            this.handleError(request, response, error);
-        }
-    }
-
-    private handleError(request: IncomingMessage, response: ServerResponse, error: unknown): void {
-        const { logger, metrics, codec } = this.options;
-        const { name: cause, status } = RefusalCause.GatewayError;
-        logger.error("request-failed", describeFailure(error));
-        metrics.answers.inc({ route: "none", status: String(status), cause });
-        request.resume();
-        refuse(response, codec, undefined, RefusalCause.GatewayError);
-    }
-
-    private accept(request: IncomingMessage, response: ServerResponse): void {
         const { codec, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
         if (!this.isTrafficSeen) {
@@ -189,7 +169,7 @@
         };
         this.readingBody.add(refuseUnread);
         response.on("close", () => this.readingBody.delete(refuseUnread));
-        const handleBody = (outcome: BodyOutcome) => {
+        readBody(request, { maxBytes, budget: this.bodyBytes, timeoutMs }, outcome => {
             if (!this.readingBody.delete(refuseUnread)) {
                 // The caller has left, or the stop has refused the request.
                 if (outcome.kind === "whole") {
@@ -251,14 +231,6 @@
             this.active.add(forwarded);
             metrics.active.set(this.active.size);
             forwarded.start();
-        };
-        readBody(request, { maxBytes, budget: this.bodyBytes, timeoutMs }, outcome => {
-            try {
-                handleBody(outcome);
-            }
-            catch (error) {
-                this.handleError(request, response, error);
-            }
         });
     }
 
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -34,8 +34,6 @@
     /** Each endpoint has rejected requests and asked to be sent nothing for a time. */
     EndpointsPaused: { name: "endpoints-paused", status: 503, retryAfterMs: 1000 },
     NotInTime: { name: "not-in-time", status: 503, retryAfterMs: 1000 },
-    /** An error inside the gateway. Becomes status 502 once the request may have run. */
-    GatewayError: { name: "gateway-error", status: 503, retryAfterMs: 1000 },
     EndpointFailed: { name: "endpoint-failed", status: 502 },
     /** The caller does not read a response that has started. */
     CallerBehind: { name: "caller-behind", status: 502 },
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -43,7 +43,6 @@
 export class ForwardingHarness {
     readonly endpoints: ScriptedEndpoint[];
     readonly lines: string[] = [];
-    readonly codec = new PlainHeaderCodec();
     readonly connections: CallerConnections;
     readonly forwarder: Forwarder;
     readonly tracker: EndpointTracker;
@@ -87,7 +86,7 @@
                 countGateways: () => 1,
             }),
             connections: this.connections,
-            codec: this.codec,
+            codec: new PlainHeaderCodec(),
             logger,
             metrics,
             getTable: () => table,
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -78,7 +78,6 @@
         meaning: "may have run: no complete answer before its deadline",
         events: ["engine-lost", "engine-order"],
     },
-    "gateway-error": { meaning: "refused, has not run: an error inside the gateway", events: ["request-failed"] },
     "stop-ended": { meaning: "may have run: the gateway stopped and had no time left for it", events: ["stopping"] },
     "caller-behind": { meaning: "the caller did not read its answer", events: [] },
     "caller-gone": { meaning: "the caller disconnected", events: [] },
