Believe nothing of a response without the request's id

What callers saw: an order ran at two endpoints (TWICE), or its caller was answered 503, "not run, try again", while an endpoint ran it or had run it (REFUSED).

Cause: a response counted as another request's only if it had an id that differs, and a failure needs no signature. A refusal that a faulty endpoint writes once more on a kept connection, without an id, was taken for the response to the next request there: its Not-Run was believed, or its status delivered. Its load, pause, limit and leaving were recorded as the endpoint's too. The same class: an endpoint's own 408, 429 or 503 without Not-Run to a request that may run only once was passed on as a promise which the endpoint hadn't made.

The protocol has endpoints echo the id in all responses, so that a response without it is no response to this request: the attempt ends as one that may have run, before anything of the response is used. Several ids are none. A request that came without an id can't be told apart at all; for it no promise is believed.

An earlier refusal with the same id can't come back for a later attempt: a request goes to each incarnation of an endpoint once.

--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,4 +1,5 @@
 import { RequestKind, type SuspectRecord } from "@kumquathall/types";
+import { checkResponse, isPromise, isRejection } from "./acceptResponse.js";
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
@@ -15,7 +16,7 @@
 import { RequestSubjects } from "./requestSubjects.js";
 import { RequestTiming } from "./requestTiming.js";
 import { MIN_ATTEMPT_MS, RetryAllowance } from "./retryAllowance.js";
-import { hasFraming, recordNotices, type RunningAttempt, STATUS_MISDIRECTED } from "./runningAttempt.js";
+import { hasFraming, recordNotices, type RunningAttempt } from "./runningAttempt.js";
 
 /** Interval between choices of an endpoint while none is available to continue a stream, in milliseconds. */
 const CHOICE_RETRY_MS = 20;
@@ -85,10 +86,14 @@
         this.sendNext();
     }
 
-    private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
+    private recordInvalidResponse(
+        attempt: RunningAttempt,
+        reason: InvalidResponseReasonValue,
+        status = attempt.status,
+    ): void {
         const { invalidResponses, head } = this.options;
         const endpoint = attempt.endpoint.view.id;
-        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status: attempt.status });
+        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status });
     }
 
     /** Sends to the best endpoint or refuses at once. A started stream waits for a group that can continue it. */
@@ -231,6 +236,12 @@
     ): void {
         const { codec, head } = this.options;
         const responseHead = codec.decodeResponse(status, headers);
+        const invalidity = checkResponse(status, responseHead, head);
+        if (invalidity !== undefined) {
+            this.recordInvalidResponse(attempt, invalidity, status);
+            this.abandon(attempt, `the response is not valid: ${invalidity}`);
+            return;
+        }
         attempt.responseHead = responseHead;
         attempt.lastDataAt = performance.now();
         attempt.sent.headAt = performance.now();
@@ -240,20 +251,6 @@
         if (responseHead.load !== undefined) {
             attempt.endpoint.reportedLoad = { ...responseHead.load, at: performance.now() };
         }
-        const isForeign = responseHead.requestId !== undefined && responseHead.requestId !== head.requestId;
-        const isInvalid = (status < 300 && !responseHead.isSigned && !responseHead.isNotRun) || responseHead.isEncoded;
-        if (responseHead.requestId === undefined && head.requestId !== undefined) {
-            this.recordInvalidResponse(attempt, InvalidResponseReason.NoId);
-        }
-        if (isForeign || isInvalid) {
-            const reason = responseHead.isEncoded ? InvalidResponseReason.Encoded : InvalidResponseReason.Unsigned;
-            this.recordInvalidResponse(attempt, isForeign ? InvalidResponseReason.OtherRequest : reason);
-            this.abandon(
-                attempt,
-                isForeign ? "the response has another request's id" : "the response is not signed or is encoded",
-            );
-            return;
-        }
         recordNotices(attempt, responseHead, this.options);
     }
 
@@ -309,7 +306,7 @@
         const body = attempt.answer.getBody();
         const endsInsideEvent = attempt.parser.countIncompleteBytes() > 0;
         this.release(attempt);
-        if (attempt.responseHead?.isNotRun === true || attempt.status === STATUS_MISDIRECTED) {
+        if (isRejection(attempt.status, attempt.responseHead, this.options.head)) {
             this.handleRejection(attempt);
             return;
         }
@@ -345,6 +342,11 @@
             );
             return;
         }
+        if (isPromise(attempt.status) && !this.retries.isRepeatable()) {
+            this.recorder.recordAttempt(attempt, "the status promises more than the endpoint does", this.lastEventId);
+            this.finishWithoutResponse(RefusalCause.EndpointFailed);
+            return;
+        }
         this.deliverResponse(attempt, body);
     }
 
