--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -87,13 +87,15 @@
     }
 
     /**
-     * Records a fact of a writer and forwards it to watchers if they need it; returns whether other members need it.
+     * Records a fact of a writer and forwards it to watchers if they need it; returns whether other members need it. A
+     * fact that can't be used is dropped.
      */
     record(fact: EndpointFact, writer = ""): boolean {
         const now = performance.now();
         const reason = findFactFault(fact);
         if (reason !== undefined) {
             this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
+            return false;
         }
         if (fact.kind === "heartbeat") {
             this.recordEndpoint(fact.id, now);
@@ -251,6 +253,7 @@
             isOrderPending: view => this.orders.isPending(view, now),
             admitLoad: (durationMs, keptFree) => !this.isTrafficSeen || budget.admitLoad(now, durationMs, keptFree),
             getOrderedMembers: key => this.orders.getMembers(key),
+            canJoinOther: (view, key) => this.orders.canJoinOther(view, key),
             isOpening: key => this.orders.isOpening(key, now, engine.formationMs + OPEN_MARGIN_MS),
             getStagingModel: view => this.orders.getStagingModel(view),
             getAcceptedPart: (head, model) => this.computeAcceptedPart(head, engine, model),
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -26,6 +26,8 @@
 const AVOID_AFTER_FAILURE_MS = 500;
 /** Endpoints serve priority 0 first and 9 last. Requests that miss their objective yield to those that can meet it. */
 const LATE_PRIORITY = 8;
+/** Interval between searches for an endpoint in place of a silent one, in milliseconds. */
+const REPLACEMENT_CHECK_MS = 250;
 /** Delay of a timer from which the process counts as stalled, in milliseconds. */
 const LATE_TIMER_MS = 100;
 const FIRST_SERVER_ERROR = 500;
@@ -96,6 +98,19 @@
         invalidResponses.record({ endpoint, reason, requestId: head.requestId, status });
     }
 
+    /** Gives the request its final answer, since the process ends. A response that has begun can only be cut off. */
+    endForStop(): void {
+        if (this.isFinished) {
+            return;
+        }
+        if (this.attempt !== undefined) {
+            this.retries.mayHaveRun ||= this.attempt.handle.isWritten();
+            this.abortUnfinished(this.attempt);
+        }
+        this.incomplete = IncompleteCause.StopEnded;
+        this.finishWithoutResponse(this.retries.mayHaveRun ? RefusalCause.StopEnded : RefusalCause.Stopping);
+    }
+
     /** Sends to the best endpoint or refuses at once. A started stream waits for a group that can continue it. */
     private sendNext(): void {
         this.choiceTimer = undefined;
@@ -192,6 +207,7 @@
             answer: new HeldAnswer(this.options.answerBytes),
             handle: { abort: () => undefined, isWritten: () => false },
             lastDataAt: performance.now(),
+            loss: undefined,
         };
         this.attempt = attempt;
         this.restartStallTimer(attempt, this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
@@ -214,21 +230,49 @@
         );
     }
 
-    /** Retries at another endpoint if this one sends nothing for `stallMs` and the request may still be repeated. */
+    /** Moves the request to another endpoint once this one has sent nothing for `stallMs`. */
     private restartStallTimer(attempt: RunningAttempt, stallMs: number): void {
         clearTimeout(this.stallTimer);
         const expiresAt = performance.now() + stallMs;
         this.stallTimer = setTimeout(() => {
-            if (this.attempt !== attempt || !this.retries.canUseAnotherEndpoint()) {
-                return;
-            }
-            attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
             const hasProcessStalled = performance.now() - expiresAt >= LATE_TIMER_MS;
             const cause = hasProcessStalled ? IncompleteCause.ProcessStalled : IncompleteCause.EndpointSilent;
-            this.abandon(attempt, "the endpoint has stalled", cause);
+            this.handleStall(attempt, cause);
         }, stallMs);
     }
 
+    /** Moves a request from a silent endpoint if another takes it; otherwise the endpoint may still complete it. */
+    private handleStall(attempt: RunningAttempt, cause: IncompleteCauseValue): void {
+        if (this.attempt !== attempt) {
+            return;
+        }
+        const next = this.takeReplacement(attempt);
+        if (next === undefined) {
+            this.restartStallTimer(attempt, REPLACEMENT_CHECK_MS);
+            return;
+        }
+        attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
+        attempt.handle.abort();
+        this.release(attempt);
+        this.recordIncompleteResponse(attempt, attempt.loss?.reason ?? "the endpoint has stalled", cause);
+        this.sendTo(next);
+    }
+
+    /** Chooses an endpoint in place of the one that runs the request now, and takes a retry for it. */
+    private takeReplacement(attempt: RunningAttempt): TrackedEndpoint | undefined {
+        const isEndpointLost = attempt.loss?.isEndpointLost === true;
+        if (!this.retries.canReplaceEndpoint(isEndpointLost) || this.subjects.findQuarantine() !== undefined) {
+            return undefined;
+        }
+        const current = this.choice;
+        const { endpoint } = this.chooseEndpoint();
+        if (endpoint !== undefined && this.retries.takeReplacement(isEndpointLost)) {
+            return endpoint;
+        }
+        this.choice = current;
+        return undefined;
+    }
+
     private handleHead(
         attempt: RunningAttempt,
         status: number,
@@ -312,12 +356,12 @@
         }
         if (this.isStream(attempt)) {
             if (endsInsideEvent) {
-                this.handleIncompleteResponse(attempt, "the stream ends inside an event", false);
+                this.handleIncompleteResponse(attempt, "the stream ends inside an event");
                 return;
             }
             const hasContent = attempt.sent.firstContentAt !== undefined || this.lastEventId !== undefined;
             if (!hasContent && !hasFraming(attempt.headers)) {
-                this.handleIncompleteResponse(attempt, "the stream ended before its first event", false);
+                this.handleIncompleteResponse(attempt, "the stream ended before its first event");
                 return;
             }
             this.writeHeadOnce(attempt);
@@ -335,11 +379,7 @@
             return;
         }
         if (this.answer.hasBegun()) {
-            this.handleIncompleteResponse(
-                attempt,
-                `the stream could not be continued (status ${attempt.status})`,
-                false,
-            );
+            this.handleIncompleteResponse(attempt, `the stream could not be continued (status ${attempt.status})`);
             return;
         }
         if (isPromise(attempt.status) && !this.retries.isRepeatable()) {
@@ -363,17 +403,25 @@
         if (isMalformed(error)) {
             this.recordInvalidResponse(attempt, InvalidResponseReason.Malformed);
         }
-        this.handleIncompleteResponse(attempt, error.message, false);
+        this.handleIncompleteResponse(attempt, error.message);
     }
 
-    /** Handles the loss of the endpoint or its group: the attempt is aborted, since it cannot complete. */
+    /**
+     * Handles the report that the endpoint or its group is lost. A response that has begun stays until another endpoint can
+     * continue it or it breaks off: only a closed connection could end it, and the report may be wrong.
+     */
     private handleEndpointLost(attempt: RunningAttempt, reason: string, isEndpointLost: boolean): void {
         if (this.attempt !== attempt) {
             return;
         }
+        attempt.loss = { reason, isEndpointLost };
+        if (this.answer.hasBegun()) {
+            this.handleStall(attempt, IncompleteCause.EndpointLost);
+            return;
+        }
         attempt.handle.abort();
         this.release(attempt);
-        this.handleIncompleteResponse(attempt, reason, isEndpointLost, IncompleteCause.EndpointLost);
+        this.handleIncompleteResponse(attempt, reason, IncompleteCause.EndpointLost);
     }
 
     /** Sends a request elsewhere of which the endpoint has received nothing and will receive nothing. */
@@ -394,14 +442,10 @@
         this.options.tracker.recordBrokenAttempt(attempt.endpoint, attempt.sent);
     }
 
-    private abandon(
-        attempt: RunningAttempt,
-        reason: string,
-        cause: IncompleteCauseValue = IncompleteCause.EndpointBroke,
-    ): void {
+    private abandon(attempt: RunningAttempt, reason: string): void {
         attempt.handle.abort();
         this.release(attempt);
-        this.handleIncompleteResponse(attempt, reason, false, cause);
+        this.handleIncompleteResponse(attempt, reason);
     }
 
     /** Handles a rejection: the endpoint guarantees that it has not run the request. */
@@ -419,9 +463,18 @@
     private handleIncompleteResponse(
         attempt: RunningAttempt,
         reason: string,
-        isEndpointLost: boolean,
         cause: IncompleteCauseValue = IncompleteCause.EndpointBroke,
     ): void {
+        this.recordIncompleteResponse(attempt, reason, cause);
+        if (this.retries.takeRetry()) {
+            this.sendNext();
+            return;
+        }
+        this.finishWithoutResponse(RefusalCause.EndpointFailed);
+    }
+
+    private recordIncompleteResponse(attempt: RunningAttempt, reason: string, cause: IncompleteCauseValue): void {
+        const isEndpointLost = attempt.loss?.isEndpointLost === true;
         this.incomplete = cause;
         this.retries.recordRun(isEndpointLost);
         attempt.endpoint.health.record(true, performance.now());
@@ -429,11 +482,6 @@
             this.options.tracker.recordBrokenAttempt(attempt.endpoint, attempt.sent);
         }
         this.recorder.recordAttempt(attempt, reason, this.lastEventId);
-        if (this.retries.takeRetry()) {
-            this.sendNext();
-            return;
-        }
-        this.finishWithoutResponse(RefusalCause.EndpointFailed);
     }
 
     private isStream(attempt: RunningAttempt): boolean {
