--- a/packages/gateway/src/testing/plainHeaderCodec.ts
+++ b/packages/gateway/src/testing/plainHeaderCodec.ts
@@ -24,13 +24,17 @@
         };
     }
 
-    override encodeForwardedRequest(_headers: HeaderField[], values: ForwardHeaderValues): Record<string, string> {
-        return values.lastEventId === undefined ? {} : { "resume-after": String(values.lastEventId) };
+    override encodeForwardedRequest(headers: HeaderField[], values: ForwardHeaderValues): Record<string, string> {
+        const id = headers.find(field => field.name === "request-id")?.value;
+        return {
+            ...(id === undefined ? {} : { "request-id": id }),
+            ...(values.lastEventId === undefined ? {} : { "resume-after": String(values.lastEventId) }),
+        };
     }
 
     override decodeResponse(_status: number, headers: Headers): ResponseHead {
         return {
-            requestId: undefined,
+            requestId: headers["request-id"]?.toString(),
             isNotRun: headers["not-run"] !== undefined,
             isSigned: headers["signed"] !== undefined,
             isEncoded: false,
