Keep a fault while one request is handled to that request

What callers saw: requests in flight at a gateway ended with a closed connection at the same moment (LOST), or one request never got an answer.

Cause: callers' requests, timers, connections to endpoints and the tracker call into the handling of a request directly. An exception there ended the process with everything in flight, or was swallowed by the HTTP client, after which the request had neither a timer nor an answer.

RequestScope is the one boundary: all that is called for a request runs through it. An exception stops what goes on for the request (timers, attempt, memory) and ends it with 500, which promises nothing, or by closing the connection if its answer has begun.

--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -3,6 +3,7 @@
 import { EventWriter } from "./eventWriter.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
 import { type Refusal, refuse } from "./refusal.js";
+import type { RequestScope } from "./requestScope.js";
 import type { UnreadAnswers } from "./unreadAnswers.js";
 
 export interface CallerResponseOptions {
@@ -13,6 +14,7 @@
     /** Memory of the events that all callers have not read. */
     unreadEventBytes: ByteBudget;
     unreadAnswers: UnreadAnswers;
+    scope: RequestScope;
 }
 
 type Headers = Record<string, string | string[] | undefined>;
@@ -27,7 +29,7 @@
     private readonly events: EventWriter;
 
     constructor(private readonly options: CallerResponseOptions) {
-        this.events = new EventWriter(options.response, options.unreadEventBytes);
+        this.events = new EventWriter(options.response, options.unreadEventBytes, options.scope);
     }
 
     hasBegun(): boolean {
--- a/packages/gateway/src/eventWriter.ts
+++ b/packages/gateway/src/eventWriter.ts
@@ -1,5 +1,6 @@
 import { type ByteBudget, ByteCollector } from "@kumquathall/byte-collector";
 import type { ServerResponse } from "node:http";
+import type { RequestScope } from "./requestScope.js";
 
 /** What a caller has not read of one stream, in bytes. */
 export const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
@@ -13,7 +14,11 @@
     private isWriting = false;
 
     /** `budget` is shared by what all callers have not read. */
-    constructor(private readonly response: ServerResponse, private readonly budget: ByteBudget) {
+    constructor(
+        private readonly response: ServerResponse,
+        private readonly budget: ByteBudget,
+        private readonly scope: RequestScope,
+    ) {
         this.waiting = this.createCollector();
         response.once("close", () => this.waiting.close());
     }
@@ -46,7 +51,7 @@
 
     private send(bytes: Buffer, release: () => void): void {
         this.isWriting = true;
-        this.response.write(bytes, error => {
+        const handleWritten = this.scope.attach((error: Error | null | undefined) => {
             release();
             this.isWriting = false;
             if (!error && this.waiting.length > 0) {
@@ -55,6 +60,7 @@
                 this.send(collected.join(), () => collected.close());
             }
         });
+        this.response.write(bytes, handleWritten);
     }
 
     private createCollector(): ByteCollector {
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -79,11 +79,16 @@
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
         this.lastEventId = head.lastEventId;
-        this.deadlineTimer = setTimeout(() => this.handleDeadline(), this.timing.getRemainingMs(performance.now()));
-        response.on("close", () => this.handleCallerDisconnect());
+        const { scope } = options;
+        this.deadlineTimer = setTimeout(
+            scope.attach(() => this.handleDeadline()),
+            this.timing.getRemainingMs(performance.now()),
+        );
+        response.on("close", scope.attach(() => this.handleCallerDisconnect()));
     }
 
     start(): void {
+        this.options.scope.setCleanUp(() => this.stopForFault());
         this.options.budget.recordRequest();
         this.sendNext();
     }
@@ -100,6 +105,24 @@
 
     /** Gives the request its final answer, since the process ends. A response that has begun can only be cut off. */
     endForStop(): void {
+        this.options.scope.run(() => this.finishForStop());
+    }
+
+    /** Stops what goes on for the request, which an exception has ended. */
+    private stopForFault(): void {
+        this.isFinished = true;
+        clearTimeout(this.deadlineTimer);
+        this.stopWaiting();
+        clearTimeout(this.stallTimer);
+        const { attempt } = this;
+        if (attempt !== undefined) {
+            attempt.handle.abort();
+            this.release(attempt);
+        }
+        this.options.onEnd();
+    }
+
+    private finishForStop(): void {
         if (this.isFinished) {
             return;
         }
@@ -141,10 +164,10 @@
 
     /** Chooses again after `waitMs`, or once control has granted permits. */
     private waitForPermit(waitMs: number): void {
-        const choose = () => {
+        const choose = this.options.scope.attach(() => {
             this.stopWaiting();
             this.sendNext();
-        };
+        });
         this.choiceTimer = setTimeout(choose, waitMs);
         this.cancelWait = this.options.limits.waitForPermits(choose);
     }
@@ -176,7 +199,7 @@
             this.finishWithoutResponse(RefusalCause.NotInTime);
             return;
         }
-        const { request, body, codec, head, account, route } = this.options;
+        const { request, body, codec, head, account, route, scope } = this.options;
         this.options.limits.takePermit(endpoint.key, performance.now());
         this.triedKeys.add(endpoint.key);
         this.sends++;
@@ -187,8 +210,8 @@
             headAt: undefined,
             firstContentAt: undefined,
             describe: () => this.subjects.describe(),
-            onLost: (reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost),
-            onClosed: () => this.takeBack(attempt),
+            onLost: scope.attach((reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost)),
+            onClosed: scope.attach(() => this.takeBack(attempt)),
         };
         const headers = codec.encodeForwardedRequest(listRawHeaders(request.rawHeaders), {
             remainingMs: Math.floor(remainingMs),
@@ -222,10 +245,10 @@
                 isRepeatable: this.retries.isRepeatable(),
             },
             {
-                onHead: (status, responseHeaders) => this.handleHead(attempt, status, responseHeaders),
-                onData: chunk => this.handleData(attempt, chunk),
-                onEnd: () => this.handleEnd(attempt),
-                onFailure: (error, isSent) => this.handleFailure(attempt, error, isSent),
+                onHead: scope.attach((status, responseHeaders) => this.handleHead(attempt, status, responseHeaders)),
+                onData: scope.attach(chunk => this.handleData(attempt, chunk)),
+                onEnd: scope.attach(() => this.handleEnd(attempt)),
+                onFailure: scope.attach((error, isSent) => this.handleFailure(attempt, error, isSent)),
             },
         );
     }
@@ -234,11 +257,12 @@
     private restartStallTimer(attempt: RunningAttempt, stallMs: number): void {
         clearTimeout(this.stallTimer);
         const expiresAt = performance.now() + stallMs;
-        this.stallTimer = setTimeout(() => {
+        const handleExpiry = this.options.scope.attach(() => {
             const hasProcessStalled = performance.now() - expiresAt >= LATE_TIMER_MS;
             const cause = hasProcessStalled ? IncompleteCause.ProcessStalled : IncompleteCause.EndpointSilent;
             this.handleStall(attempt, cause);
-        }, stallMs);
+        });
+        this.stallTimer = setTimeout(handleExpiry, stallMs);
     }
 
     /** Moves a request from a silent endpoint if another takes it; otherwise the endpoint may still complete it. */
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -11,6 +11,7 @@
 import type { InvalidResponses } from "./invalidResponses.js";
 import type { GatewayMetrics } from "./metrics.js";
 import type { QuarantineList } from "./quarantineList.js";
+import type { RequestScope } from "./requestScope.js";
 import type { RouteTable } from "./routeTable.js";
 import type { SharedRetryBudget } from "./sharedRetryBudget.js";
 import type { UnreadAnswers } from "./unreadAnswers.js";
@@ -46,6 +47,8 @@
     crashReporter: CrashReporter;
     /** Memory of the incomplete responses and events of all requests. */
     answerBytes: ByteBudget;
+    /** Runs whatever is called for this request. */
+    scope: RequestScope;
     /** Memory of the events that all callers have not read. */
     unreadEventBytes: ByteBudget;
     unreadAnswers: UnreadAnswers;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -15,6 +15,7 @@
 import { readBody } from "./readBody.js";
 import { type Refusal, RefusalCause, refuse } from "./refusal.js";
 import { RequestAgeEstimator } from "./requestAgeEstimator.js";
+import { RequestScope } from "./requestScope.js";
 import { chooseTarget, type RouteTable } from "./routeTable.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
 import { UnreadAnswers } from "./unreadAnswers.js";
@@ -99,7 +100,14 @@
         [...this.active].forEach(forwarded => forwarded.endForStop());
     }
 
+    /** Handles a caller's request. An exception ends this request only. */
     forward(request: IncomingMessage, response: ServerResponse): void {
+        const { codec, logger, metrics } = this.options;
+        const scope = new RequestScope({ request, response, codec, logger, metrics });
+        scope.run(() => this.forwardWithin(scope, request, response));
+    }
+
+    private forwardWithin(scope: RequestScope, request: IncomingMessage, response: ServerResponse): void {
         const { codec, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
         if (!this.isTrafficSeen) {
@@ -115,6 +123,7 @@
             ) => [name, Array.isArray(value) ? value.join(",") : value ?? ""]),
         );
         const head = codec.decodeRequest(headers);
+        scope.requestId = head.requestId;
         const table = this.options.getTable();
         const target = request.url ?? "/";
         const refuseRequest = (cause: Refusal, route = "none", quarantined?: SuspectRecord) => {
@@ -162,14 +171,15 @@
         }
         const configurationVersion = table.getVersion();
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
-        const refuseUnread = () => {
+        const refuseUnread = scope.attach(() => {
             this.readingBody.delete(refuseUnread);
             response.setHeader("connection", "close");
             refuseRequest(RefusalCause.Stopping, route.name);
-        };
+        });
+        scope.setCleanUp(() => this.readingBody.delete(refuseUnread));
         this.readingBody.add(refuseUnread);
         response.on("close", () => this.readingBody.delete(refuseUnread));
-        readBody(request, { maxBytes, budget: this.bodyBytes, timeoutMs }, outcome => {
+        readBody(request, { maxBytes, budget: this.bodyBytes, timeoutMs, scope }, outcome => {
             if (!this.readingBody.delete(refuseUnread)) {
                 // The caller has left, or the stop has refused the request.
                 if (outcome.kind === "whole") {
@@ -194,6 +204,7 @@
                 return;
             }
             const { body, release } = outcome;
+            scope.setCleanUp(release);
             const service = chooseTarget(route, Math.random());
             const forwarded = new ForwardedRequest({
                 request,
@@ -219,6 +230,7 @@
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
                 answerBytes: this.answerBytes,
+                scope,
                 unreadEventBytes: this.unreadEventBytes,
                 unreadAnswers: this.unreadAnswers,
                 invalidResponses: this.invalidResponses,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -14,6 +14,7 @@
     parseErrors: Counter<"code">;
     invalidResponses: Counter<"reason">;
     unreadAnswersCut: Counter;
+    requestFaults: Counter;
 }
 
 export interface GatewayMetricsOptions {
@@ -118,6 +119,11 @@
             labelNames: ["reason"],
             registers,
         }),
+        requestFaults: new Counter({
+            name: "kumquathall_gateway_request_faults_total",
+            help: "Exceptions while one request was handled, each of which ended that request",
+            registers,
+        }),
         unreadAnswersCut: new Counter({
             name: "kumquathall_gateway_unread_answers_cut_total",
             help: "Connections closed because callers had not read their answers while others held as much as they may",
--- a/packages/gateway/src/readBody.ts
+++ b/packages/gateway/src/readBody.ts
@@ -1,5 +1,6 @@
 import { type ByteBudget, ByteCollector } from "@kumquathall/byte-collector";
 import type { IncomingMessage } from "node:http";
+import type { RequestScope } from "./requestScope.js";
 
 export interface BodyLimits {
     maxBytes: number;
@@ -7,6 +8,8 @@
     budget: ByteBudget;
     /** Time limit for the whole body, in milliseconds. */
     timeoutMs: number;
+    /** Runs the callbacks of the request. */
+    scope: RequestScope;
 }
 
 export type BodyOutcome =
@@ -21,7 +24,7 @@
 /** Reads a whole body and calls `onOutcome` once, or never if the caller disconnects first. */
 export function readBody(
     request: IncomingMessage,
-    { maxBytes, budget, timeoutMs }: BodyLimits,
+    { maxBytes, budget, timeoutMs, scope }: BodyLimits,
     onOutcome: (outcome: BodyOutcome) => void,
 ): void {
     const collector = new ByteCollector({ maxBytes, budget });
@@ -37,13 +40,19 @@
         }
         onOutcome(outcome);
     };
-    const timer = setTimeout(() => settle({ kind: "late" }), timeoutMs);
-    request.on("data", (chunk: Buffer) => {
-        if (!isFinished && !collector.add(chunk)) {
-            settle({ kind: collector.length + chunk.length > maxBytes ? "tooLarge" : "noMemory" });
-        }
-    });
-    request.on("end", () => settle({ kind: "whole", body: collector.join(), release: () => collector.close() }));
+    const timer = setTimeout(scope.attach(() => settle({ kind: "late" })), timeoutMs);
+    request.on(
+        "data",
+        scope.attach((chunk: Buffer) => {
+            if (!isFinished && !collector.add(chunk)) {
+                settle({ kind: collector.length + chunk.length > maxBytes ? "tooLarge" : "noMemory" });
+            }
+        }),
+    );
+    request.on(
+        "end",
+        scope.attach(() => settle({ kind: "whole", body: collector.join(), release: () => collector.close() })),
+    );
     request.on("close", () => {
         clearTimeout(timer);
         if (!isFinished) {
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -37,6 +37,8 @@
     EndpointFailed: { name: "endpoint-failed", status: 502 },
     /** The caller does not read a response that has started. */
     CallerBehind: { name: "caller-behind", status: 502 },
+    /** An error inside the gateway. */
+    Internal: { name: "internal", status: 500 },
     Timeout: { name: "timeout", status: 504 },
 } as const satisfies Record<string, Refusal>;
 
--- a/packages/gateway/src/smallChunks.steps.ts
+++ b/packages/gateway/src/smallChunks.steps.ts
@@ -10,6 +10,7 @@
 import { EventWriter } from "./eventWriter.js";
 import { HeldAnswer } from "./heldAnswer.js";
 import { readBody } from "./readBody.js";
+import { RequestScope, type RequestScopeOptions } from "./requestScope.js";
 import { UnreadAnswers } from "./unreadAnswers.js";
 
 const MAX_BYTES = 64_000_000;
@@ -38,6 +39,11 @@
     return new ServerResponse(new IncomingMessage(new Socket()));
 }
 
+/** A scope in which nothing fails. */
+function createScope(): RequestScope {
+    return new RequestScope({} as RequestScopeOptions);
+}
+
 const holders: Record<string, () => { add: () => void }> = {
     "a response": () => {
         const answer = new HeldAnswer(new ByteBudget(MAX_BYTES));
@@ -45,7 +51,8 @@
     },
     "a request body": () => {
         const request = new EventEmitter() as IncomingMessage;
-        const limits = { maxBytes: MAX_BYTES, budget: new ByteBudget(MAX_BYTES), timeoutMs: 1 };
+        const scope = createScope();
+        const limits = { maxBytes: MAX_BYTES, budget: new ByteBudget(MAX_BYTES), timeoutMs: 1, scope };
         readBody(request, limits, () => undefined);
         return { add: () => request.emit("data", Buffer.from(PIECE)), request } as { add: () => void };
     },
@@ -55,7 +62,7 @@
     },
     "events that a caller must read": () => {
         const response = createUnreadResponse();
-        const writer = new EventWriter(response, new ByteBudget(MAX_BYTES));
+        const writer = new EventWriter(response, new ByteBudget(MAX_BYTES), createScope());
         return { add: () => ok(writer.write(Buffer.from(EVENT))) };
     },
 };
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -42,13 +42,14 @@
     readonly forwarder: Forwarder;
     readonly tracker: EndpointTracker;
     isStopping = false;
+    private readonly registry = new Registry();
     private readonly server: Server;
     private readonly callers: CallerSocket[] = [];
     private requests = 0;
 
     constructor(private readonly options: ForwardingHarnessOptions) {
         const logger = createLogger({ write: line => this.lines.push(line) });
-        const metrics = registerGatewayMetrics(new Registry(), {
+        const metrics = registerGatewayMetrics(this.registry, {
             countLimited: () => 0,
             countPaused: () => 0,
             countHeldBytes: () => this.forwarder.countHeldBytes(),
@@ -106,6 +107,12 @@
         this.server.close();
     }
 
+    /** Reads the sum of a counter. */
+    async readCounter(name: string): Promise<number> {
+        const { values } = await this.registry.getSingleMetric(name)?.get() ?? { values: [] };
+        return values.reduce((sum, item) => sum + item.value, 0);
+    }
+
     /** Opens a caller's connection. */
     openConnection(): CallerSocket {
         const caller = new CallerSocket();
--- a/packages/gateway/src/testing/scriptedEndpoint.ts
+++ b/packages/gateway/src/testing/scriptedEndpoint.ts
@@ -68,7 +68,7 @@
 export function sendEvents(attempt: ScriptedAttempt, last: number): void {
     const { handler, request } = attempt;
     if (attempt.nextEventId === Number(request.headers["resume-after"] ?? 0) + 1) {
-        handler.onHead(200, { ...STREAM_HEADERS, ...echoId(attempt) });
+        handler.onHead(200, { ...STREAM_HEADERS, ...buildEcho(attempt) });
     }
     for (; attempt.nextEventId <= last; attempt.nextEventId++) {
         handler.onData(Buffer.from(formatEvent(attempt.nextEventId)));
@@ -77,13 +77,13 @@
 
 /** Sends a whole answer that is no stream. */
 export function sendAnswer(attempt: ScriptedAttempt, status: number, body: string, headers = SIGNED_HEADERS): void {
-    attempt.handler.onHead(status, { ...headers, ...echoId(attempt), "content-length": String(body.length) });
+    attempt.handler.onHead(status, { ...headers, ...buildEcho(attempt), "content-length": String(body.length) });
     attempt.handler.onData(Buffer.from(body));
     endResponse(attempt);
 }
 
 /** Endpoints name the request in their response. */
-function echoId({ request }: ScriptedAttempt): Record<string, string> {
+function buildEcho({ request }: ScriptedAttempt): Record<string, string> {
     const id = request.headers["request-id"];
     return id === undefined ? {} : { "request-id": id };
 }
