--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,5 +1,6 @@
 import { PeerTimer } from "@kumquathall/peer-timers";
 import { RequestKind, type SuspectRecord } from "@kumquathall/types";
+import { checkResponse, isPromise, isRejection } from "./acceptResponse.js";
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
@@ -16,7 +17,7 @@
 import { RequestSubjects } from "./requestSubjects.js";
 import { RequestTiming } from "./requestTiming.js";
 import { MIN_ATTEMPT_MS, RetryAllowance } from "./retryAllowance.js";
-import { hasFraming, readMediaType, recordNotices, type RunningAttempt, STATUS_MISDIRECTED } from "./runningAttempt.js";
+import { hasFraming, readMediaType, recordNotices, type RunningAttempt } from "./runningAttempt.js";
 
 /** Interval between choices of an endpoint while none is available to continue a stream, in milliseconds. */
 const CHOICE_RETRY_MS = 20;
@@ -81,25 +82,52 @@
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
         this.lastEventId = head.lastEventId;
-        this.deadlineTimer = new PeerTimer({ onExpire: () => this.handleDeadline(), allowsForStalls: false });
+        const { scope } = options;
+        this.deadlineTimer = new PeerTimer({
+            onExpire: scope.attach(() => this.handleDeadline()),
+            allowsForStalls: false,
+        });
         this.deadlineTimer.start(this.timing.getRemainingMs(performance.now()));
-        this.stallTimer = new PeerTimer({ onExpire: () => this.handleSilence() });
-        response.on("close", () => this.handleCallerDisconnect());
+        this.stallTimer = new PeerTimer({ onExpire: scope.attach(() => this.handleSilence()) });
+        response.on("close", scope.attach(() => this.handleCallerDisconnect()));
     }
 
     start(): void {
+        this.options.scope.setCleanUp(() => this.stopForFault());
         this.options.budget.recordRequest();
         this.sendNext();
     }
 
-    private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
+    private recordInvalidResponse(
+        attempt: RunningAttempt,
+        reason: InvalidResponseReasonValue,
+        status = attempt.status,
+    ): void {
         const { invalidResponses, head } = this.options;
         const endpoint = attempt.endpoint.view.id;
-        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status: attempt.status });
+        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status });
     }
 
     /** Gives the request its final answer, since the process ends. A response that has begun can only be cut off. */
     endForStop(): void {
+        this.options.scope.run(() => this.finishForStop());
+    }
+
+    /** Stops what goes on for the request, which an exception has ended. */
+    private stopForFault(): void {
+        this.isFinished = true;
+        this.deadlineTimer.stop();
+        this.stopWaiting();
+        this.stallTimer.stop();
+        const { attempt } = this;
+        if (attempt !== undefined) {
+            attempt.handle.abort();
+            this.release(attempt);
+        }
+        this.options.onEnd();
+    }
+
+    private finishForStop(): void {
         if (this.isFinished) {
             return;
         }
@@ -141,10 +169,10 @@
 
     /** Chooses again after `waitMs`, or once control has granted permits. */
     private waitForPermit(waitMs: number): void {
-        const choose = () => {
+        const choose = this.options.scope.attach(() => {
             this.stopWaiting();
             this.sendNext();
-        };
+        });
         this.choiceTimer = setTimeout(choose, waitMs);
         this.cancelWait = this.options.limits.waitForPermits(choose);
     }
@@ -190,7 +218,7 @@
             this.finishWithoutResponse(RefusalCause.NotInTime);
             return;
         }
-        const { request, body, codec, head, account, route } = this.options;
+        const { request, body, codec, head, account, route, scope } = this.options;
         this.options.limits.takePermit(endpoint.key, performance.now());
         this.triedKeys.add(endpoint.key);
         this.sends++;
@@ -201,8 +229,8 @@
             headAt: undefined,
             firstContentAt: undefined,
             describe: () => this.subjects.describe(),
-            onLost: (reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost),
-            onClosed: () => this.takeBack(attempt),
+            onLost: scope.attach((reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost)),
+            onClosed: scope.attach(() => this.takeBack(attempt)),
         };
         const headers = codec.encodeForwardedRequest(listRawHeaders(request.rawHeaders), {
             remainingMs: Math.floor(remainingMs),
@@ -237,10 +265,10 @@
                 isRepeatable: this.retries.isRepeatable(),
             },
             {
-                onHead: (status, responseHeaders) => this.handleHead(attempt, status, responseHeaders),
-                onData: chunk => this.handleData(attempt, chunk),
-                onEnd: () => this.handleEnd(attempt),
-                onFailure: (error, isSent) => this.handleFailure(attempt, error, isSent),
+                onHead: scope.attach((status, responseHeaders) => this.handleHead(attempt, status, responseHeaders)),
+                onData: scope.attach(chunk => this.handleData(attempt, chunk)),
+                onEnd: scope.attach(() => this.handleEnd(attempt)),
+                onFailure: scope.attach((error, isSent) => this.handleFailure(attempt, error, isSent)),
             },
         );
     }
@@ -290,6 +318,12 @@
     ): void {
         const { codec, head } = this.options;
         const responseHead = codec.decodeResponse(status, headers);
+        const invalidity = checkResponse(status, responseHead, head);
+        if (invalidity !== undefined) {
+            this.recordInvalidResponse(attempt, invalidity, status);
+            this.abandon(attempt, `the response is not valid: ${invalidity}`);
+            return;
+        }
         attempt.responseHead = responseHead;
         attempt.lastDataAt = performance.now();
         attempt.sent.headAt = performance.now();
@@ -299,20 +333,6 @@
         if (responseHead.load !== undefined) {
             attempt.endpoint.reportedLoad = { ...responseHead.load, at: performance.now() };
         }
-        const isForeign = responseHead.requestId !== undefined && responseHead.requestId !== head.requestId;
-        const isInvalid = (status < 300 && !responseHead.isSigned && !responseHead.isNotRun) || responseHead.isEncoded;
-        if (responseHead.requestId === undefined && head.requestId !== undefined) {
-            this.recordInvalidResponse(attempt, InvalidResponseReason.NoId);
-        }
-        if (isForeign || isInvalid) {
-            const reason = responseHead.isEncoded ? InvalidResponseReason.Encoded : InvalidResponseReason.Unsigned;
-            this.recordInvalidResponse(attempt, isForeign ? InvalidResponseReason.OtherRequest : reason);
-            this.abandon(
-                attempt,
-                isForeign ? "the response has another request's id" : "the response is not signed or is encoded",
-            );
-            return;
-        }
         recordNotices(attempt, responseHead, this.options);
         if (attempt.isContinuation && this.isStream(attempt) && readMediaType(headers) !== this.mediaType) {
             this.abandon(attempt, "the response that continues the stream has another type");
@@ -379,7 +399,7 @@
         const body = attempt.answer.getBody();
         const endsInsideEvent = attempt.parser.countIncompleteBytes() > 0;
         this.release(attempt);
-        if (attempt.responseHead?.isNotRun === true || attempt.status === STATUS_MISDIRECTED) {
+        if (isRejection(attempt.status, attempt.responseHead, this.options.head)) {
             this.handleRejection(attempt);
             return;
         }
@@ -410,6 +430,11 @@
             this.sendNext();
             return;
         }
+        if (isPromise(attempt.status) && !this.retries.isRepeatable()) {
+            this.recorder.recordAttempt(attempt, "the status promises more than the endpoint does", this.lastEventId);
+            this.finishWithoutResponse(RefusalCause.EndpointFailed);
+            return;
+        }
         this.deliverResponse(attempt, body);
     }
 
