--- a/packages/gateway/src/requestScope.feature
+++ b/packages/gateway/src/requestScope.feature
@@ -25,5 +25,5 @@
             | handleStall            | a stall of its endpoint      | status 500          |
             | handleCallerDisconnect | the end of its connection    | a closed connection |
             | writeHeadOnce          | the first event of a stream  | status 500          |
-            | restartStallTimer      | the second event of a stream | a closed connection |
+            | recordFirstContent     | the second event of a stream | a closed connection |
             | finishForStop          | the end of the process       | status 500          |
--- a/packages/gateway/src/requestScope.steps.ts
+++ b/packages/gateway/src/requestScope.steps.ts
@@ -64,7 +64,7 @@
     "a gateway with two endpoints, each with a request, of which the first fails at {word}",
     async (point: string) => {
         clock = install({ toFake: FAKED });
-        const isStream = point === "writeHeadOnce" || point === "restartStallTimer";
+        const isStream = point === "writeHeadOnce" || point === "recordFirstContent";
         const route = {
             kind: isStream ? RequestKind.Streaming : RequestKind.Idempotent,
             isResumable: false,
@@ -72,7 +72,7 @@
         };
         harness = new ForwardingHarness({ clock, endpoints: 2, route });
         injectFault(point);
-        isArmed = point !== "restartStallTimer";
+        isArmed = point !== "recordFirstContent";
         first = harness.openConnection();
         second = harness.openConnection();
         await harness.sendRequest(first, { "request-id": FAULTY_ID });
