Refuse further requests while callers read large answers, instead of cutting the oldest

What callers saw: large answers cut off while their callers were reading them.

Above 64 MB of whole answers that callers had not read, the oldest was cut, however much of it had been read.

From 64 MiB on, further requests are now refused at once (503 answers-full, which is true: nothing has run). An answer is cut only if it has not been read for 15 s, or above 96 MiB, which answers to requests accepted before may reach.

Evidence: the new scenario of smallChunks.feature tests what did not exist before (the two callers that read for 14 s keep their answers); @small-chunks, @gateway-stop, @request-scope, @log-story, @endpoint-silence: 48 passed.

--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -71,9 +71,11 @@
 
     constructor(private readonly options: ForwarderOptions) {
         this.invalidResponses = new InvalidResponses(options.logger, options.metrics.invalidResponses);
-        this.unreadAnswers = new UnreadAnswers(() => {
-            options.metrics.unreadAnswersCut.inc();
-            options.logger.warn("unread-answer-cut");
+        this.unreadAnswers = new UnreadAnswers({
+            onClose: () => {
+                options.metrics.unreadAnswersCut.inc();
+                options.logger.warn("unread-answer-cut");
+            },
         });
     }
 
@@ -169,6 +171,10 @@
             refuseRequest(RefusalCause.Stopping, route.name);
             return;
         }
+        if (this.unreadAnswers.isFull(arrivedAt)) {
+            refuseRequest(RefusalCause.AnswersFull, route.name);
+            return;
+        }
         const configurationVersion = table.getVersion();
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
         const refuseUnread = scope.attach(() => {
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -22,6 +22,8 @@
     BodyTooLarge: { name: "body-too-large", status: 413 },
     /** The bodies of all requests hold as much memory as they may. */
     BodiesFull: { name: "bodies-full", status: 503, retryAfterMs: 1000 },
+    /** Whole answers that callers have not read hold as much memory as they may. */
+    AnswersFull: { name: "answers-full", status: 503, retryAfterMs: 1000 },
     NoEndpoint: { name: "no-endpoint", status: 503, retryAfterMs: 1000 },
     /** What the request is, or what it carries, has ended the endpoints that ran it. */
     Quarantined: { name: "fenced", status: 503 },
--- a/packages/gateway/src/smallChunks.feature
+++ b/packages/gateway/src/smallChunks.feature
@@ -21,3 +21,9 @@
         Then the connections of the callers 1 and 2 are closed, and 550 bytes are held
         When caller 3 has read its answer
         Then 250 bytes are held
+
+    # Guards against answers that slow callers are reading being cut for those of others.
+    Scenario: Slow callers get their answers, and further requests are refused meanwhile
+        Given answers of 300 and 200 bytes that callers have not read, and no further request from 400 bytes on
+        Then after 14 s no further request is accepted, and 2 answers are still delivered
+        And after 16 s further requests are accepted, and 1 answer is still delivered
--- a/packages/gateway/src/smallChunks.steps.ts
+++ b/packages/gateway/src/smallChunks.steps.ts
@@ -20,6 +20,7 @@
 
 let held: unknown;
 let heldBytes = 0;
+const MS_PER_SECOND = 1000;
 let unread: UnreadAnswers;
 let callers: ServerResponse[] = [];
 
@@ -85,7 +86,7 @@
 Given(
     "answers of {int}, {int} and {int} bytes that callers have not read, of which {int} bytes may be held",
     (first: number, second: number, third: number, most: number) => {
-        unread = new UnreadAnswers(() => undefined, most);
+        unread = new UnreadAnswers({ onClose: () => undefined, maxBytes: most });
         callers = [first, second, third].map(bytes => {
             const response = createUnreadResponse();
             unread.add(response, bytes);
@@ -111,4 +112,32 @@
 
 When("caller {int} has read its answer", (caller: number) => callers[caller - 1].emit("close"));
 
+Given(
+    "answers of {int} and {int} bytes that callers have not read, and no further request from {int} bytes on",
+    (first: number, second: number, full: number) => {
+        unread = new UnreadAnswers({ onClose: () => undefined, fullBytes: full });
+        callers = [first, second].map(bytes => {
+            const response = createUnreadResponse();
+            unread.add(response, bytes);
+            return response;
+        });
+    },
+);
+
+Then(
+    "after {int} s no further request is accepted, and {int} answers are still delivered",
+    (seconds: number, count: number) => {
+        strictEqual(unread.isFull(performance.now() + seconds * MS_PER_SECOND), true);
+        strictEqual(callers.filter(response => !response.destroyed).length, count);
+    },
+);
+
+Then("after {int} s further requests are accepted, and {int} answer is still delivered", (
+    seconds: number,
+    count: number,
+) => {
+    strictEqual(unread.isFull(performance.now() + seconds * MS_PER_SECOND), false);
+    strictEqual(callers.filter(response => !response.destroyed).length, count);
+});
+
 Then("{int} bytes are held", (bytes: number) => strictEqual(unread.getHeld(), bytes));
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -66,6 +66,10 @@
     },
     "stopping": { meaning: "refused, has not run: the gateway was stopping", events: ["stopping"] },
     "body-late": { meaning: "refused, has not run: its body did not arrive in time", events: [] },
+    "answers-full": {
+        meaning: "refused, has not run: callers had not read earlier answers",
+        events: ["unread-answer-cut"],
+    },
     "fenced": {
         meaning: "refused, has not run: endpoints ended each time that it, or what it carries, ran",
         events: [],
