--- a/packages/control/src/publishRecorder.ts
+++ b/packages/control/src/publishRecorder.ts
@@ -1,4 +1,4 @@
-import type { ConsensusRuntime } from "@kumquathall/consensus";
+import { type ConsensusRuntime, Role } from "@kumquathall/consensus";
 import { describeError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
 import type { Command, CommandResult } from "@kumquathall/types";
@@ -57,14 +57,16 @@
             logger.info("configuration-not-committed", { version, code });
             return;
         }
-        const holders = runtime.listHolders(result.revision);
+        const { role, hardState } = runtime.getState();
+        // A former leader learns from its successor that its proposal is committed, and not which members hold it.
+        const holders = role === Role.Leader ? runtime.listHolders(result.revision) : undefined;
         logger.info("configuration-committed", {
             version,
             revision: result.revision,
-            term: runtime.getState().hardState.term,
+            term: hardState.term,
             members: runtime.getMembers().length,
-            copies: holders.length,
-            holders: holders.join(),
+            copies: holders?.length,
+            holders: holders?.join(),
         });
     }
 }
