Check reports of crashes, limits and wanted permits one by one

What callers could see: a limit that is no number counted as 0, so that an endpoint got one request every 2 s; a crash report of another shape threw inside what collects evidence and took the other reports of its message with it, or left half of itself there.

Cause: these messages were trusted as they came, unlike facts about endpoints. Control members and gateways now check each report and drop the odd ones with their writer and reason.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -1,5 +1,6 @@
 import { ConsensusError, type ConsensusMessage, ConsensusRuntime } from "@kumquathall/consensus";
 import { ControlDirectory, getMemberAddress } from "@kumquathall/control-directory";
+import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
 import { describeError, KumquathallError } from "@kumquathall/errors";
 import {
     createIdentity,
@@ -7,6 +8,7 @@
     createLinkFaultHandler,
     type RoleContext,
     type RunningRole,
+    selectUsable,
 } from "@kumquathall/kernel";
 import { type Link, LinkDialer, LinkListener, parseAddress, type PeerIdentity } from "@kumquathall/link";
 import type { InputFaultLog } from "@kumquathall/logger";
@@ -19,6 +21,7 @@
     CrashEvidenceFact,
     EndpointFact,
     LimitFact,
+    PermitWant,
     TrafficConfiguration,
 } from "@kumquathall/types";
 import type { ControlSettings } from "./controlSettings.js";
@@ -319,12 +322,17 @@
             cast.facts.forEach(fact => this.endpointTask?.record(fact, link.peer?.id ?? ""));
             return;
         }
+        const selection = { faults: this.faults, writer: link.peer?.id ?? "" };
         if (cast.kind === "crashEvidence") {
-            this.quarantineTask?.record(cast.facts);
+            this.quarantineTask?.record(
+                selectUsable({ ...selection, kind: "crash-evidence", facts: cast.facts, findFault: findCrashFault }),
+            );
             return;
         }
         if (cast.kind === "endpointLimits") {
-            this.limitTask?.record(cast.facts);
+            this.limitTask?.record(
+                selectUsable({ ...selection, kind: "endpoint-limit", facts: cast.facts, findFault: findLimitFault }),
+            );
             return;
         }
         const isMember = link.peer?.role === "control" && link.peer.controlGroup === this.identity.controlGroup;
@@ -381,7 +389,7 @@
                 this.endpointTask?.watch(link);
                 return { kind: "endpoints", facts: [] };
             case "takePermits":
-                return this.limitTask?.grant(link.peer?.id ?? "", call.wants) ?? this.buildRedirect();
+                return this.grantPermits(call.wants, link);
             case "watchRevision":
                 return this.distributor.watch(link);
             case "readConfiguration":
@@ -397,6 +405,15 @@
         }
     }
 
+    private grantPermits(wants: PermitWant[], link: Link): ControlAnswer {
+        const writer = link.peer?.id ?? "";
+        const findFault = (want: unknown) =>
+            findLimitFault(want)
+                ?? (Number.isSafeInteger((want as PermitWant).count) ? undefined : "count is not a whole number");
+        const usable = selectUsable({ faults: this.faults, kind: "permit-want", writer, facts: wants, findFault });
+        return this.limitTask?.grant(writer, usable) ?? this.buildRedirect();
+    }
+
     private buildMembers(): ControlAnswer {
         const gateways = this.endpointTask?.countWatchers() ?? 0;
         return { kind: "members", members: [...this.runtime.getMembers()], gateways };
--- a/packages/endpoint-registry/src/index.ts
+++ b/packages/endpoint-registry/src/index.ts
@@ -14,4 +14,5 @@
     isFactName,
     isSocketAddress,
 } from "./findFactFault.js";
+export { findCrashFault, findLimitFault } from "./findReportFault.js";
 export { pickFact } from "./pickFact.js";
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,4 +1,5 @@
 import { ControlDirectory } from "@kumquathall/control-directory";
+import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
 import { describeError } from "@kumquathall/errors";
 import {
     createIdentity,
@@ -6,8 +7,10 @@
     createLinkFaultHandler,
     type RoleContext,
     type RunningRole,
+    selectUsable,
 } from "@kumquathall/kernel";
 import { type Link, parseAddress } from "@kumquathall/link";
+import type { InputFaultLog } from "@kumquathall/logger";
 import type {
     ConfigurationUpdate,
     ControlAnswer,
@@ -64,6 +67,7 @@
 /** Role that accepts callers' HTTP requests and forwards them to endpoints. */
 export class GatewayRole implements RunningRole {
     private readonly directory: ControlDirectory;
+    private readonly faults: InputFaultLog;
     private readonly reader: TrafficConfigurationReader;
     private readonly metrics: GatewayMetrics;
     private readonly quarantine: QuarantineList;
@@ -85,6 +89,7 @@
     ) {
         const { logger } = context;
         const faults = createInputFaultLog(context);
+        this.faults = faults;
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
             countPaused: () => this.tracker.countPaused(performance.now()),
@@ -294,6 +299,7 @@
     }
 
     private handleCast(message: ControlCast, link: Link): void {
+        const selection = { faults: this.faults, writer: link.peer?.id ?? "" };
         if (message.kind === "revision") {
             this.reader.recordRevision(link, message.revision);
         }
@@ -301,10 +307,16 @@
             this.tracker.record(message.facts, performance.now(), link.peer?.id);
         }
         else if (message.kind === "endpointLimits") {
-            this.limits.record(message.facts, performance.now());
+            this.limits.record(
+                selectUsable({ ...selection, kind: "endpoint-limit", facts: message.facts, findFault: findLimitFault }),
+                performance.now(),
+            );
         }
         else {
-            this.crashReporter.recordFacts(message.facts, performance.now());
+            this.crashReporter.recordFacts(
+                selectUsable({ ...selection, kind: "crash-evidence", facts: message.facts, findFault: findCrashFault }),
+                performance.now(),
+            );
         }
     }
 
--- a/packages/kernel/src/inputFaults.ts
+++ b/packages/kernel/src/inputFaults.ts
@@ -28,3 +28,23 @@
             message: describeError(error),
         });
 }
+
+export interface FactSelection<Fact> {
+    faults: InputFaultLog;
+    kind: string;
+    writer: string;
+    facts: Fact[];
+    /** Returns what makes a fact unusable; `undefined` if it can be used. */
+    findFault: (fact: unknown) => string | undefined;
+}
+
+/** Selects the facts of a message that can be used; the others are counted and logged. */
+export function selectUsable<Fact>({ faults, kind, writer, facts, findFault }: FactSelection<Fact>): Fact[] {
+    return facts.filter(fact => {
+        const reason = findFault(fact);
+        if (reason !== undefined) {
+            faults.record({ kind, reason, writer });
+        }
+        return reason === undefined;
+    });
+}
