--- a/packages/gateway/src/acceptResponse.steps.ts
+++ b/packages/gateway/src/acceptResponse.steps.ts
@@ -1,7 +1,8 @@
 import { Then, When } from "@cucumber/cucumber";
 import { strictEqual } from "node:assert";
 import { checkResponse, isRejection } from "./acceptResponse.js";
-import type { RequestHead, ResponseHead } from "./httpHeaderCodec.js";
+import type { ResponseHead } from "./httpHeaderCodec.js";
+import { PlainHeaderCodec } from "./testing/plainHeaderCodec.js";
 
 let verdict = "";
 
@@ -13,17 +14,8 @@
     /^a request with the id (\S+) gets status (\d+) with the id (\S+) and (.*)$/,
     (sent: string, statusText: string, id: string, fields: string) => {
         const status = Number(statusText);
-        const request: RequestHead = {
-            requestId: decodeId(sent),
-            deadlineMs: undefined,
-            key: undefined,
-            model: undefined,
-            promptTokens: undefined,
-            promptParts: [],
-            maxAnswerTokens: undefined,
-            answerTokensHint: undefined,
-            lastEventId: undefined,
-        };
+        const headers = sent === "none" ? [] : [["request-id", sent] as const];
+        const request = new PlainHeaderCodec().decodeRequest(new Map(headers));
         const response: ResponseHead = {
             requestId: decodeId(id),
             isNotRun: fields.includes("not-run"),
