Leave new connections open during a stop until their first request has arrived

Cause: once the gateway is out of rotation, its stop closes each connection that has no request in every turn of 50 ms. A connection that was accepted a moment before has none either; its request was on its way, or waited at the socket of a busy process.

A connection on which no request has arrived counts as new for a second. The stop leaves it open, and does not end before its requests have their answers, until the time of the plan is over.

--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -38,8 +38,12 @@
     [HEAD_LATE_CODE]: "408 Request Timeout",
 };
 const BAD_REQUEST_LINE = "400 Bad Request";
+/** Time in which the first request of a new connection arrives, in milliseconds: callers allow a second to connect. */
+const FIRST_REQUEST_MS = 1000;
 
 interface Connection {
+    /** Monotonic time at which it was accepted, in milliseconds. */
+    acceptedAt: number;
     /** Responses that have not left the process, oldest first. */
     unfinished: Set<ServerResponse>;
     /** A response has left the process; the idle limit holds from then on. */
@@ -104,6 +108,11 @@
         return [...this.connections.values()].reduce((sum, connection) => sum + connection.unfinished.size, 0);
     }
 
+    /** Number of connections whose first request may still be on its way. */
+    countNew(): number {
+        return [...this.connections.values()].filter(isNew).length;
+    }
+
     /** Why this process has closed a request's connection; `undefined` if the caller closed it or it is open. */
     findCloseReason(request: IncomingMessage): CloseReasonValue | undefined {
         return this.connections.get(request.socket)?.closeReason;
@@ -132,11 +141,13 @@
 
     /**
      * Closes the connections without a request or a response that has not left the process. Node's own
-     * `closeIdleConnections` counts a response as ended once it is complete, sent or not.
+     * `closeIdleConnections` counts a response as ended once it is complete, sent or not. New connections stay open.
      */
     closeIdle(reason: CloseReasonValue): void {
-        for (const socket of this.connections.keys()) {
-            this.closeIfIdle(socket, reason);
+        for (const [socket, connection] of this.connections) {
+            if (!isNew(connection)) {
+                this.closeIfIdle(socket, reason);
+            }
         }
     }
 
@@ -147,6 +158,7 @@
 
     private addSocket(socket: Socket): void {
         this.connections.set(socket, {
+            acceptedAt: performance.now(),
             unfinished: new Set(),
             hasServed: false,
             closeReason: undefined,
@@ -212,6 +224,12 @@
     return [...unfinished].some(response => response.req.complete);
 }
 
+/** Whether the first request of the connection may still be on its way. */
+function isNew({ hasServed, unfinished, closeReason, acceptedAt }: Connection): boolean {
+    return !hasServed && unfinished.size === 0 && closeReason === undefined
+        && performance.now() - acceptedAt < FIRST_REQUEST_MS;
+}
+
 /** Whether the connection ends after the response. */
 function isLast(response: ServerResponse): boolean {
     return !response.shouldKeepAlive || response.getHeader("connection") === "close";
--- a/packages/gateway/src/gatewayStop.feature
+++ b/packages/gateway/src/gatewayStop.feature
@@ -50,6 +50,15 @@
         And the endpoint answers it with 10 bytes
         Then the caller has an answer with status 200 and 10 bytes
 
+    # Guards against a reset in place of an answer for callers that the balancer still sends here.
+    Scenario: A request on a connection that was opened during the stop is answered
+        Given a gateway that serves repeatable requests and stops within 8000 ms
+        And another caller has sent a request
+        When the stop begins, and 3000 ms pass
+        And a caller opens a connection, and sends its request 400 ms later
+        And the endpoint answers it with 10 bytes
+        Then the caller has an answer with status 200 and 10 bytes
+
     # Guards against pipelined requests that run and whose answer can't be sent any more.
     Scenario: A request behind one that ends the connection does not run
         Given a gateway that serves repeatable requests and stops within 8000 ms
--- a/packages/gateway/src/gatewayStop.steps.ts
+++ b/packages/gateway/src/gatewayStop.steps.ts
@@ -83,6 +83,12 @@
     },
 );
 
+When("a caller opens a connection, and sends its request {int} ms later", async (ms: number) => {
+    caller = harness.openConnection();
+    await harness.advance(ms);
+    await harness.sendRequest(caller, { "content-length": String(BODY.length) }, BODY);
+});
+
 When("the caller reads on", async () => {
     caller.startReading();
     await harness.advance(100);
--- a/packages/gateway/src/gatewayStop.ts
+++ b/packages/gateway/src/gatewayStop.ts
@@ -36,7 +36,7 @@
             if (sinceMs >= plan.endMs) {
                 forwarder.endAll();
             }
-            const isComplete = isOutOfRotation && connections.countUnfinished() === 0;
+            const isComplete = isOutOfRotation && connections.countUnfinished() + connections.countNew() === 0;
             if (isComplete || sinceMs >= plan.closeMs) {
                 return;
             }
