--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -20,9 +20,13 @@
     /** The body did not arrive by the caller's deadline or the route's timeout; 408 guarantees that it has not run. */
     BodyLate: { name: "body-late", status: 408 },
     BodyTooLarge: { name: "body-too-large", status: 413 },
+    /** The bodies of all requests hold as much memory as they may. */
+    BodiesFull: { name: "bodies-full", status: 503, retryAfterMs: 1000 },
     NoEndpoint: { name: "no-endpoint", status: 503, retryAfterMs: 1000 },
     /** What the request is, or what it carries, has ended the endpoints that ran it. */
     Quarantined: { name: "fenced", status: 503 },
+    /** The gateway has no time left for a request that may have run. */
+    StopEnded: { name: "stop-ended", status: 502 },
     Stopping: { name: "stopping", status: 503, retryAfterMs: 50 },
     NoRoom: { name: "no-room", status: 503, retryAfterMs: 1000 },
     /** The endpoints limit their requests, and no permit comes in time. */
