--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -1,10 +1,11 @@
-import { KumquathallError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
 import type { LogStore, RecoveredState } from "@kumquathall/storage";
 import type { HardState, LogEntry, LogPayload, Snapshot } from "@kumquathall/types";
+import { ConsensusError } from "./errors.js";
 import { canServeRead } from "./lease.js";
-import { getEntries, getLastIndex, getMembers, getTermAt, listHolders } from "./log.js";
+import { getEntries, getLastIndex, getMembers, getMembersAt, getTermAt, listHolders } from "./log.js";
 import { PayloadSizes } from "./payloadSizes.js";
+import { ProposalWaiters, type Waiter } from "./proposalWaiters.js";
 import {
     type ConsensusEffect,
     type ConsensusEvent,
@@ -14,17 +15,7 @@
     DEFAULT_CONSENSUS_OPTIONS,
 } from "./state.js";
 import { createConsensusState, stepConsensus } from "./step.js";
-
-/** Thrown when this member is stopping, is not the leader, or lost leadership before the proposal was committed. */
-export class ConsensusError extends KumquathallError {
-    /** The leader to ask instead, if known. */
-    readonly leaderId: string | undefined;
-
-    constructor(message: string, leaderId: string | undefined) {
-        super(message);
-        this.leaderId = leaderId;
-    }
-}
+import { SuspensionDetector } from "./suspensionDetector.js";
 
 /** Sends messages to other members; may lose, duplicate and reorder them. */
 export interface ConsensusTransport<Payload> {
@@ -55,6 +46,8 @@
     onRole?: (role: string, term: number) => void;
     /** Applied entries after which a new snapshot is taken. */
     snapshotEvery?: number;
+    /** Returns numbers in [0, 1) that spread the election timeouts; `Math.random` by default. */
+    random?: () => number;
 }
 
 const TICK_MS = 20;
@@ -62,12 +55,6 @@
 /** Most entries kept in the log after a snapshot covers them, so that a slightly lagging member needs no snapshot. */
 const MAX_KEPT_ENTRIES = 1000;
 
-interface Waiter<Result> {
-    term: number;
-    resolve: (results: Result[]) => void;
-    reject: (error: Error) => void;
-}
-
 /** An effect that waits for a disk write, or the start of a log segment after this member took a snapshot. */
 type OutboxItem<Payload> = ConsensusEffect<Payload> | { kind: "startSegment"; snapshot: Snapshot };
 
@@ -81,8 +68,9 @@
 export class ConsensusRuntime<Payload, Result> {
     private state: ConsensusState<Payload>;
     private readonly timing: ConsensusOptions;
+    private readonly random: () => number;
     private appliedIndex: number;
-    private readonly waiters = new Map<number, Waiter<Result>>();
+    private readonly waiters = new ProposalWaiters<Result>();
     private proposals: PendingProposal<Payload, Result>[] = [];
     private isProposalScheduled = false;
     private outbox: OutboxItem<Payload>[] = [];
@@ -90,10 +78,12 @@
     private isWriting = false;
     private isClosed = false;
     private lastSnapshot: Snapshot | undefined;
+    private readonly suspensionDetector = new SuspensionDetector();
     private readonly timer: NodeJS.Timeout;
 
     constructor(private readonly options: ConsensusRuntimeOptions<Payload, Result>) {
         const sizes = new PayloadSizes();
+        this.random = options.random ?? Math.random;
         this.timing = {
             measurePayload: payload => sizes.measure(payload),
             ...options.timing ?? DEFAULT_CONSENSUS_OPTIONS,
@@ -108,7 +98,7 @@
             id: options.id,
             members: recovered.snapshot?.members ?? options.members,
             now: performance.now(),
-            random: Math.random(),
+            random: this.random(),
             hardState: recovered.hardState,
             snapshotIndex: recovered.snapshot?.index,
             snapshotTerm: recovered.snapshot?.term,
@@ -116,7 +106,7 @@
             timing: this.timing,
         });
         this.timer = setInterval(
-            () => this.handle({ kind: "tick", now: performance.now(), random: Math.random() }),
+            () => this.handle({ kind: "tick", now: performance.now(), random: this.random() }),
             TICK_MS,
         );
     }
@@ -143,15 +133,19 @@
 
     /** Whether this member may serve reads and issue orders: it holds the lease and has applied all commits. */
     canServe(): boolean {
+        this.checkSuspension();
         return this.appliedIndex >= this.state.commitIndex && canServeRead(this.state, performance.now(), this.timing);
     }
 
     /** Handles a message from another member. */
     receive(from: string, message: ConsensusMessage<Payload>): void {
-        this.handle({ kind: "receive", now: performance.now(), random: Math.random(), from, message });
+        this.handle({ kind: "receive", now: performance.now(), random: this.random(), from, message });
     }
 
-    /** Proposes a command; resolves with its result once committed and applied. Rejects with {@link ConsensusError}. */
+    /**
+     * Proposes a command; resolves with its result once committed and applied. Rejects with {@link ConsensusError} if it
+     * was not committed, and with {@link UnknownOutcomeError} if that cannot be known.
+     */
     propose(command: Payload): Promise<Result> {
         return new Promise((resolve, reject) => {
             this.proposals.push({ command, resolve, reject });
@@ -173,7 +167,7 @@
     async close(): Promise<void> {
         this.isClosed = true;
         clearInterval(this.timer);
-        this.refuseWaiters(new ConsensusError("this member is stopping", undefined));
+        this.waiters.refuseAll(new ConsensusError("this member is stopping", undefined));
         await this.options.store.close();
     }
 
@@ -215,7 +209,7 @@
             waiter.reject(new ConsensusError("this member is not the leader", this.state.leaderId));
             return;
         }
-        this.waiters.set(proposed.index, { ...waiter, term: proposed.term });
+        this.waiters.add(proposed.index, { ...waiter, term: proposed.term });
         // `handle` applies nothing for a proposal, so that its waiter is registered before its entry can be applied.
         this.applyCommitted();
     }
@@ -224,6 +218,19 @@
         if (this.isClosed) {
             return [];
         }
+        this.checkSuspension();
+        return this.advance(event);
+    }
+
+    /** A suspended leader may have been replaced while its own clock stood still, so its lease ends. */
+    private checkSuspension(): void {
+        if (!this.isClosed && this.suspensionDetector.hasBeenSuspended()) {
+            this.options.logger.info("clock-advanced", { state: this.state.role, term: this.state.hardState.term });
+            this.advance({ kind: "suspended", now: performance.now() });
+        }
+    }
+
+    private advance(event: ConsensusEvent<Payload>): ConsensusEffect<Payload>[] {
         const result = stepConsensus(this.state, event, this.timing);
         this.state = result.state;
         this.execute(result.effects);
@@ -342,7 +349,7 @@
             const commands = entry.payload.kind === "commands" ? entry.payload.commands : [];
             const results = commands.map(command => stateMachine.apply(command, entry.index, entry.term));
             this.appliedIndex = entry.index;
-            this.resolveWaiter(entry, results);
+            this.waiters.resolve(entry, results, this.state.leaderId);
         }
         this.options.onApplied?.();
         this.takeSnapshotIfDue();
@@ -354,29 +361,11 @@
         if (snapshot !== undefined && snapshot.index > this.appliedIndex) {
             this.options.stateMachine.loadSnapshot(snapshot.data);
             this.appliedIndex = snapshot.index;
+            this.waiters.refuseCovered(snapshot.index);
             this.options.onApplied?.();
         }
     }
 
-    private resolveWaiter(entry: LogEntry<Payload>, results: Result[]): void {
-        const waiter = this.waiters.get(entry.index);
-        if (waiter === undefined) {
-            return;
-        }
-        this.waiters.delete(entry.index);
-        if (waiter.term === entry.term) {
-            waiter.resolve(results);
-        }
-        else {
-            waiter.reject(
-                new ConsensusError(
-                    "an entry of another leader replaced this proposal; send it again",
-                    this.state.leaderId,
-                ),
-            );
-        }
-    }
-
     private takeSnapshotIfDue(): void {
         const every = this.options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
         const covered = this.lastSnapshot?.index ?? 0;
@@ -391,7 +380,7 @@
     private async takeSnapshot(): Promise<void> {
         const index = this.appliedIndex;
         const term = getTermAt(this.state, index) ?? 0;
-        const members = [...getMembers(this.state)];
+        const members = [...getMembersAt(this.state, index)];
         const data = await this.options.stateMachine.saveSnapshot();
         const snapshot: Snapshot = { index, term, members, data };
         await this.options.store.writeSnapshot(snapshot);
@@ -424,11 +413,4 @@
             setImmediate(() => void this.writeOutbox());
         }
     }
-
-    private refuseWaiters(error: Error): void {
-        for (const waiter of this.waiters.values()) {
-            waiter.reject(error);
-        }
-        this.waiters.clear();
-    }
 }
--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -34,6 +34,7 @@
 import { readMemberIdentity } from "./memberIdentity.js";
 import { MembershipTask } from "./membershipTask.js";
 import { registerControlMetrics } from "./metrics.js";
+import { computeGroupSize } from "./planMembership.js";
 import { PublishRecorder } from "./publishRecorder.js";
 import { QuarantineTask } from "./quarantineTask.js";
 import { describeRecovery } from "./recoveryReport.js";
@@ -236,7 +237,7 @@
         const { founding } = this.settings;
         const { logger } = this.context;
         if (founding !== undefined) {
-            this.directory = new ControlDirectory({
+            const directory = new ControlDirectory({
                 identity: this.identity,
                 seeds: founding.seeds.filter(seed => seed !== this.settings.listen),
                 handlers: {
@@ -245,11 +246,12 @@
                 },
                 logger,
             });
+            this.directory = directory;
             this.membershipTask = new MembershipTask({
                 id: this.id,
                 runtime: this.runtime,
-                directory: this.directory,
-                targetMembers: founding.targetMembers,
+                listLinks: () => directory.listLinks(),
+                targetMembers: computeGroupSize(founding),
                 logger,
                 onMembersChange: members => this.updateDialers(members),
             });
--- a/packages/control/src/publishRecorder.ts
+++ b/packages/control/src/publishRecorder.ts
@@ -1,9 +1,14 @@
-import type { ConsensusRuntime } from "@kumquathall/consensus";
+import { type ConsensusRuntime, Role } from "@kumquathall/consensus";
 import { describeError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
 import type { Command, CommandResult } from "@kumquathall/types";
 import { Counter, type Registry } from "prom-client";
-import { ConcurrentPublishError, ConfigurationSizeError, type PublishReceipt } from "./trafficPublisher.js";
+import {
+    ConcurrentPublishError,
+    ConfigurationSizeError,
+    type PublishReceipt,
+    PublishRefusedError,
+} from "./trafficPublisher.js";
 
 export interface PublishRecorderOptions {
     runtime: ConsensusRuntime<Command, CommandResult>;
@@ -35,7 +40,7 @@
             this.publishes.inc({ outcome: "refused", reason: "too-large" });
             return;
         }
-        const reason = error instanceof ConcurrentPublishError ? "concurrent" : "no-leader";
+        const reason = describeReason(error);
         this.publishes.inc({ outcome: "unclear", reason });
         this.options.logger.info("configuration-not-confirmed", { version, reason, message: describeError(error) });
     }
@@ -52,14 +57,23 @@
             logger.info("configuration-not-committed", { version, code });
             return;
         }
-        const holders = runtime.listHolders(result.revision);
+        const { role, hardState } = runtime.getState();
+        // A former leader learns from its successor that its proposal is committed, and not which members hold it.
+        const holders = role === Role.Leader ? runtime.listHolders(result.revision) : undefined;
         logger.info("configuration-committed", {
             version,
             revision: result.revision,
-            term: runtime.getState().hardState.term,
+            term: hardState.term,
             members: runtime.getMembers().length,
-            copies: holders.length,
-            holders: holders.join(),
+            copies: holders?.length,
+            holders: holders?.join(),
         });
     }
 }
+
+function describeReason(error: unknown): string {
+    if (error instanceof PublishRefusedError) {
+        return "not-committed";
+    }
+    return error instanceof ConcurrentPublishError ? "concurrent" : "no-leader";
+}
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -1,10 +1,12 @@
+import { PeerTimer } from "@kumquathall/peer-timers";
 import { RequestKind, type SuspectRecord } from "@kumquathall/types";
+import { checkResponse, isPromise, isRejection } from "./acceptResponse.js";
 import { CloseReason } from "./callerConnections.js";
 import { CallerResponse } from "./callerResponse.js";
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
 import { isMalformed, listRawHeaders } from "./endpointPool.js";
 import type { SentRequest, TrackedEndpoint } from "./endpointTracker.js";
-import { EventStreamParser } from "./eventStreamParser.js";
+import { EventStreamParser, MAX_EVENT_BYTES } from "./eventStreamParser.js";
 import type { ForwardedRequestOptions } from "./forwardedRequestOptions.js";
 import { HeldAnswer } from "./heldAnswer.js";
 import { IncompleteCause, type IncompleteCauseValue } from "./incompleteCause.js";
@@ -15,7 +17,7 @@
 import { RequestSubjects } from "./requestSubjects.js";
 import { RequestTiming } from "./requestTiming.js";
 import { MIN_ATTEMPT_MS, RetryAllowance } from "./retryAllowance.js";
-import { hasFraming, recordNotices, type RunningAttempt, STATUS_MISDIRECTED } from "./runningAttempt.js";
+import { hasFraming, readMediaType, recordNotices, type RunningAttempt } from "./runningAttempt.js";
 
 /** Interval between choices of an endpoint while none is available to continue a stream, in milliseconds. */
 const CHOICE_RETRY_MS = 20;
@@ -25,13 +27,8 @@
 const AVOID_AFTER_FAILURE_MS = 500;
 /** Endpoints serve priority 0 first and 9 last. Requests that miss their objective yield to those that can meet it. */
 const LATE_PRIORITY = 8;
-/** Limits of one event and of what a caller has not read, in bytes. */
-const MAX_EVENT_BYTES = 1024 * 1024;
-const MAX_UNREAD_BYTES = 4 * 1024 * 1024;
-/** Interval between searches for an endpoint in place of a silent one, in milliseconds. */
+/** Interval between searches for another endpoint while a stream waits for one, in milliseconds. */
 const REPLACEMENT_CHECK_MS = 250;
-/** Delay of a timer from which the process counts as stalled, in milliseconds. */
-const LATE_TIMER_MS = 100;
 const FIRST_SERVER_ERROR = 500;
 /** Cause of the end of a request with a complete answer of an endpoint. */
 const SERVED = "served";
@@ -39,6 +36,8 @@
 /** Forwards one request, whose body is complete, until the caller has its final response. */
 export class ForwardedRequest {
     private readonly triedKeys = new Set<string>();
+    /** Endpoints that have rejected the request without running it. */
+    private readonly rejectedKeys = new Set<string>();
     private attempt: RunningAttempt | undefined;
     private readonly subjects: RequestSubjects;
     /** Record of the quarantine by which the request is refused. */
@@ -46,6 +45,8 @@
     private sends = 0;
     private isFinished = false;
     private lastEventId: number | undefined;
+    /** Media type of the stream that has begun. */
+    private mediaType: string | undefined;
     private readonly chooser: EndpointChooser;
     /** The latest choice of an endpoint. */
     private choice: EndpointChoice | undefined;
@@ -58,15 +59,15 @@
     private readonly recorder: RequestRecorder;
     private readonly timing: RequestTiming;
     private readonly retries: RetryAllowance;
-    private readonly deadlineTimer: NodeJS.Timeout;
+    private readonly deadlineTimer: PeerTimer;
     private choiceTimer: NodeJS.Timeout | undefined;
     /** Cancels a wait for permits. */
     private cancelWait: (() => void) | undefined;
-    private stallTimer: NodeJS.Timeout | undefined;
+    private readonly stallTimer: PeerTimer;
 
     constructor(private readonly options: ForwardedRequestOptions) {
         const { head, route, arrivedAt, response } = options;
-        this.answer = new CallerResponse({ response, codec: options.codec, requestId: head.requestId });
+        this.answer = new CallerResponse({ ...options, requestId: head.requestId });
         this.recorder = new RequestRecorder(options);
         this.chooser = new EndpointChooser(options);
         this.subjects = new RequestSubjects({
@@ -81,28 +82,61 @@
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
         this.lastEventId = head.lastEventId;
-        this.deadlineTimer = setTimeout(() => this.handleDeadline(), this.timing.getRemainingMs(performance.now()));
-        response.on("close", () => this.handleCallerDisconnect());
+        const { scope } = options;
+        this.deadlineTimer = new PeerTimer({
+            onExpire: scope.attach(() => this.handleDeadline()),
+            allowsForStalls: false,
+        });
+        this.deadlineTimer.start(this.timing.getRemainingMs(performance.now()));
+        this.stallTimer = new PeerTimer({ onExpire: scope.attach(() => this.handleSilence()) });
+        response.on("close", scope.attach(() => this.handleCallerDisconnect()));
     }
 
     start(): void {
+        this.options.scope.setCleanUp(() => this.stopForFault());
         this.options.budget.recordRequest();
         this.sendNext();
     }
 
-    countBodyBytes(): number {
-        return this.options.body.length;
+    private recordInvalidResponse(
+        attempt: RunningAttempt,
+        reason: InvalidResponseReasonValue,
+        status = attempt.status,
+    ): void {
+        const { invalidResponses, head } = this.options;
+        const endpoint = attempt.endpoint.view.id;
+        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status });
     }
 
-    /** Counts the bytes that the caller has not read. */
-    countUnreadBytes(): number {
-        return this.answer.countUnreadBytes();
+    /** Gives the request its final answer, since the process ends. A response that has begun can only be cut off. */
+    endForStop(): void {
+        this.options.scope.run(() => this.finishForStop());
     }
 
-    private recordInvalidResponse(attempt: RunningAttempt, reason: InvalidResponseReasonValue): void {
-        const { invalidResponses, head } = this.options;
-        const endpoint = attempt.endpoint.view.id;
-        invalidResponses.record({ endpoint, reason, requestId: head.requestId, status: attempt.status });
+    /** Stops what goes on for the request, which an exception has ended. */
+    private stopForFault(): void {
+        this.isFinished = true;
+        this.deadlineTimer.stop();
+        this.stopWaiting();
+        this.stallTimer.stop();
+        const { attempt } = this;
+        if (attempt !== undefined) {
+            attempt.handle.abort();
+            this.release(attempt);
+        }
+        this.options.onEnd();
+    }
+
+    private finishForStop(): void {
+        if (this.isFinished) {
+            return;
+        }
+        if (this.attempt !== undefined) {
+            this.retries.mayHaveRun ||= this.attempt.handle.isWritten();
+            this.abortUnfinished(this.attempt);
+        }
+        this.incomplete = IncompleteCause.StopEnded;
+        this.finishWithoutResponse(this.retries.mayHaveRun ? RefusalCause.StopEnded : RefusalCause.Stopping);
     }
 
     /** Sends to the best endpoint or refuses at once. A started stream waits for a group that can continue it. */
@@ -135,14 +169,28 @@
 
     /** Chooses again after `waitMs`, or once control has granted permits. */
     private waitForPermit(waitMs: number): void {
-        const choose = () => {
+        const choose = this.options.scope.attach(() => {
             this.stopWaiting();
             this.sendNext();
-        };
+        });
         this.choiceTimer = setTimeout(choose, waitMs);
         this.cancelWait = this.options.limits.waitForPermits(choose);
     }
 
+    /** Waits for a retry of a stream that has begun: closing its connection would waste what its caller has. */
+    private waitForRetry(): void {
+        this.choiceTimer = setTimeout(() => {
+            if (!this.retries.takeRetryOfStream()) {
+                this.waitForRetry();
+                return;
+            }
+            // An endpoint that was full may have room now.
+            this.rejectedKeys.forEach(key => this.triedKeys.delete(key));
+            this.rejectedKeys.clear();
+            this.sendNext();
+        }, REPLACEMENT_CHECK_MS);
+    }
+
     private stopWaiting(): void {
         clearTimeout(this.choiceTimer);
         this.cancelWait?.();
@@ -170,7 +218,7 @@
             this.finishWithoutResponse(RefusalCause.NotInTime);
             return;
         }
-        const { request, body, codec, head, account, route } = this.options;
+        const { request, body, codec, head, account, route, scope } = this.options;
         this.options.limits.takePermit(endpoint.key, performance.now());
         this.triedKeys.add(endpoint.key);
         this.sends++;
@@ -181,8 +229,8 @@
             headAt: undefined,
             firstContentAt: undefined,
             describe: () => this.subjects.describe(),
-            onLost: (reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost),
-            onClosed: () => this.takeBack(attempt),
+            onLost: scope.attach((reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost)),
+            onClosed: scope.attach(() => this.takeBack(attempt)),
         };
         const headers = codec.encodeForwardedRequest(listRawHeaders(request.rawHeaders), {
             remainingMs: Math.floor(remainingMs),
@@ -194,7 +242,8 @@
         const attempt: RunningAttempt = {
             endpoint,
             sent,
-            parser: new EventStreamParser(),
+            parser: new EventStreamParser(this.options.answerBytes),
+            isContinuation: this.answer.hasBegun(),
             responseHead: undefined,
             status: 0,
             headers: {},
@@ -204,7 +253,7 @@
             loss: undefined,
         };
         this.attempt = attempt;
-        this.restartStallTimer(attempt, this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
+        this.stallTimer.start(this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
         endpoint.inFlight.add(sent);
         this.options.invalidResponses.watch(endpoint);
         attempt.handle = endpoint.pool.send(
@@ -216,23 +265,18 @@
                 isRepeatable: this.retries.isRepeatable(),
             },
             {
-                onHead: (status, responseHeaders) => this.handleHead(attempt, status, responseHeaders),
-                onData: chunk => this.handleData(attempt, chunk),
-                onEnd: () => this.handleEnd(attempt),
-                onFailure: (error, isSent) => this.handleFailure(attempt, error, isSent),
+                onHead: scope.attach((status, responseHeaders) => this.handleHead(attempt, status, responseHeaders)),
+                onData: scope.attach(chunk => this.handleData(attempt, chunk)),
+                onEnd: scope.attach(() => this.handleEnd(attempt)),
+                onFailure: scope.attach((error, isSent) => this.handleFailure(attempt, error, isSent)),
             },
         );
     }
 
-    /** Moves the request to another endpoint once this one has sent nothing for `stallMs`. */
-    private restartStallTimer(attempt: RunningAttempt, stallMs: number): void {
-        clearTimeout(this.stallTimer);
-        const expiresAt = performance.now() + stallMs;
-        this.stallTimer = setTimeout(() => {
-            const hasProcessStalled = performance.now() - expiresAt >= LATE_TIMER_MS;
-            const cause = hasProcessStalled ? IncompleteCause.ProcessStalled : IncompleteCause.EndpointSilent;
-            this.handleStall(attempt, cause);
-        }, stallMs);
+    private handleSilence(): void {
+        if (this.attempt !== undefined) {
+            this.handleStall(this.attempt, IncompleteCause.EndpointSilent);
+        }
     }
 
     /** Moves a request from a silent endpoint if another takes it; otherwise the endpoint may still complete it. */
@@ -242,7 +286,7 @@
         }
         const next = this.takeReplacement(attempt);
         if (next === undefined) {
-            this.restartStallTimer(attempt, REPLACEMENT_CHECK_MS);
+            this.stallTimer.start(REPLACEMENT_CHECK_MS);
             return;
         }
         attempt.endpoint.avoidUntil = performance.now() + AVOID_AFTER_FAILURE_MS;
@@ -274,6 +318,12 @@
     ): void {
         const { codec, head } = this.options;
         const responseHead = codec.decodeResponse(status, headers);
+        const invalidity = checkResponse(status, responseHead, head);
+        if (invalidity !== undefined) {
+            this.recordInvalidResponse(attempt, invalidity, status);
+            this.abandon(attempt, `the response is not valid: ${invalidity}`);
+            return;
+        }
         attempt.responseHead = responseHead;
         attempt.lastDataAt = performance.now();
         attempt.sent.headAt = performance.now();
@@ -283,21 +333,10 @@
         if (responseHead.load !== undefined) {
             attempt.endpoint.reportedLoad = { ...responseHead.load, at: performance.now() };
         }
-        const isForeign = responseHead.requestId !== undefined && responseHead.requestId !== head.requestId;
-        const isInvalid = (status < 300 && !responseHead.isSigned && !responseHead.isNotRun) || responseHead.isEncoded;
-        if (responseHead.requestId === undefined && head.requestId !== undefined) {
-            this.recordInvalidResponse(attempt, InvalidResponseReason.NoId);
-        }
-        if (isForeign || isInvalid) {
-            const reason = responseHead.isEncoded ? InvalidResponseReason.Encoded : InvalidResponseReason.Unsigned;
-            this.recordInvalidResponse(attempt, isForeign ? InvalidResponseReason.OtherRequest : reason);
-            this.abandon(
-                attempt,
-                isForeign ? "the response has another request's id" : "the response is not signed or is encoded",
-            );
-            return;
-        }
         recordNotices(attempt, responseHead, this.options);
+        if (attempt.isContinuation && this.isStream(attempt) && readMediaType(headers) !== this.mediaType) {
+            this.abandon(attempt, "the response that continues the stream has another type");
+        }
     }
 
     private handleData(attempt: RunningAttempt, chunk: Buffer): void {
@@ -314,18 +353,33 @@
             }
             return;
         }
+        let isBehind = false;
         for (const event of attempt.parser.push(chunk)) {
+            const isNext = event.id !== undefined && event.id > (this.lastEventId ?? Number.NEGATIVE_INFINITY);
+            if (attempt.isContinuation && !event.isComment && !isNext) {
+                this.abandon(attempt, `an event does not continue the stream after event ${this.lastEventId}`);
+                return;
+            }
             this.recordFirstContent(attempt);
             this.writeHeadOnce(attempt);
-            this.restartStallTimer(attempt, this.timing.computeStreamIdleTimeoutMs());
+            this.stallTimer.start(this.timing.computeStreamIdleTimeoutMs());
+            if (!isNext && !event.isComment) {
+                this.retries.recordUnidentifiedEvent();
+            }
             this.lastEventId = event.id ?? this.lastEventId;
-            this.answer.writeEvent(event.bytes);
+            isBehind = !this.answer.writeEvent(event.bytes);
+            if (isBehind) {
+                break;
+            }
         }
-        if (attempt.parser.getIncompleteBytes().length > MAX_EVENT_BYTES) {
+        if (attempt.parser.hasExceededLimit()) {
             this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
-            this.abandon(attempt, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
+            this.abandon(
+                attempt,
+                `an event is larger than ${MAX_EVENT_BYTES} bytes, or all responses hold as much as they may`,
+            );
         }
-        else if (this.answer.countUnreadBytes() > MAX_UNREAD_BYTES) {
+        else if (isBehind) {
             this.abortUnfinished(attempt);
             this.incomplete = IncompleteCause.CallerBehind;
             this.finishWithoutResponse(RefusalCause.CallerBehind);
@@ -342,18 +396,19 @@
         if (this.attempt !== attempt) {
             return;
         }
+        const body = attempt.answer.getBody();
+        const endsInsideEvent = attempt.parser.countIncompleteBytes() > 0;
         this.release(attempt);
-        if (attempt.responseHead?.isNotRun === true || attempt.status === STATUS_MISDIRECTED) {
+        if (isRejection(attempt.status, attempt.responseHead, this.options.head)) {
             this.handleRejection(attempt);
             return;
         }
         if (this.isStream(attempt)) {
-            if (attempt.parser.getIncompleteBytes().length > 0) {
+            if (endsInsideEvent) {
                 this.handleIncompleteResponse(attempt, "the stream ends inside an event");
                 return;
             }
-            const hasContent = attempt.sent.firstContentAt !== undefined || this.lastEventId !== undefined;
-            if (!hasContent && !hasFraming(attempt.headers)) {
+            if (attempt.sent.firstContentAt === undefined && !hasFraming(attempt.headers)) {
                 this.handleIncompleteResponse(attempt, "the stream ended before its first event");
                 return;
             }
@@ -363,19 +418,24 @@
             this.finish(attempt.status, SERVED, () => this.answer.endStream());
             return;
         }
+        if (this.answer.hasBegun()) {
+            this.handleIncompleteResponse(attempt, `the stream could not be continued (status ${attempt.status})`);
+            return;
+        }
         this.retries.recordRun(false);
         attempt.endpoint.health.record(attempt.status >= FIRST_SERVER_ERROR, performance.now());
         this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
-        if (attempt.status >= FIRST_SERVER_ERROR && !this.answer.hasBegun() && this.retries.takeRetry()) {
+        if (attempt.status >= FIRST_SERVER_ERROR && this.retries.takeRetry()) {
             this.recorder.recordAttempt(attempt, "endpoint-error", this.lastEventId);
             this.sendNext();
             return;
         }
-        if (this.answer.hasBegun()) {
-            this.handleIncompleteResponse(attempt, `the stream could not be continued (status ${attempt.status})`);
+        if (isPromise(attempt.status) && !this.retries.isRepeatable()) {
+            this.recorder.recordAttempt(attempt, "the status promises more than the endpoint does", this.lastEventId);
+            this.finishWithoutResponse(RefusalCause.EndpointFailed);
             return;
         }
-        this.deliverResponse(attempt);
+        this.deliverResponse(attempt, body);
     }
 
     private handleFailure(attempt: RunningAttempt, error: Error, isSent: boolean): void {
@@ -439,11 +499,16 @@
     /** Handles a rejection: the endpoint guarantees that it has not run the request. */
     private handleRejection(attempt: RunningAttempt): void {
         const hasRetry = this.retries.takeRetryAfterRejection();
+        this.rejectedKeys.add(attempt.endpoint.key);
         this.recorder.recordAttempt(attempt, "turned-away", this.lastEventId);
         if (hasRetry) {
             this.sendNext();
             return;
         }
+        if (this.answer.hasBegun()) {
+            this.waitForRetry();
+            return;
+        }
         this.finishWithoutResponse(this.chooser.findPauseRefusal(performance.now()) ?? RefusalCause.NoRoom);
     }
 
@@ -473,7 +538,8 @@
     }
 
     private isStream(attempt: RunningAttempt): boolean {
-        return this.options.route.kind === RequestKind.Streaming && attempt.status === 200;
+        return this.options.route.kind === RequestKind.Streaming && attempt.status === 200
+            && attempt.responseHead?.isNotRun !== true;
     }
 
     private writeHeadOnce(attempt: RunningAttempt): void {
@@ -485,11 +551,11 @@
             const predictedMs = (this.choice?.predictedMs ?? 0) - bias.get(head.model);
             bias.record(head.model, predictedMs, performance.now() - attempt.sent.sentAt);
         }
+        this.mediaType = readMediaType(attempt.headers);
         this.answer.writeHead(attempt.status, attempt.headers);
     }
 
-    private deliverResponse(attempt: RunningAttempt): void {
-        const body = attempt.answer.getBody();
+    private deliverResponse(attempt: RunningAttempt, body: Buffer): void {
         this.finish(attempt.status, SERVED, () => this.answer.deliver(attempt.status, attempt.headers, body));
     }
 
@@ -497,7 +563,8 @@
         this.attempt = undefined;
         this.lastDataAt = attempt.lastDataAt;
         attempt.answer.close();
-        clearTimeout(this.stallTimer);
+        attempt.parser.close();
+        this.stallTimer.stop();
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
             attempt.endpoint.endedSinceReport++;
         }
@@ -547,9 +614,9 @@
 
     private finish(status: number, cause: string, effect: () => void): void {
         this.isFinished = true;
-        clearTimeout(this.deadlineTimer);
+        this.deadlineTimer.stop();
         this.stopWaiting();
-        clearTimeout(this.stallTimer);
+        this.stallTimer.stop();
         effect();
         const isServed = cause === SERVED;
         this.recorder.recordEnd({
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -1,7 +1,7 @@
+import { ByteBudget } from "@kumquathall/byte-collector";
 import type { Logger } from "@kumquathall/logger";
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { ByteBudget } from "./byteBudget.js";
 import { type CallerConnections, CloseReason } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
@@ -15,8 +15,10 @@
 import { readBody } from "./readBody.js";
 import { type Refusal, RefusalCause, refuse } from "./refusal.js";
 import { RequestAgeEstimator } from "./requestAgeEstimator.js";
+import { RequestScope } from "./requestScope.js";
 import { chooseTarget, type RouteTable } from "./routeTable.js";
 import { SharedRetryBudget } from "./sharedRetryBudget.js";
+import { UnreadAnswers } from "./unreadAnswers.js";
 
 export interface ForwarderOptions {
     tracker: EndpointTracker;
@@ -47,21 +49,34 @@
 
 /** Time for a caller to read the refusal of a request whose body goes on, in milliseconds. */
 const CLOSE_AFTER_MS = 500;
-/** Bytes of responses without events that are held for all requests. */
+/** Memory for all requests, in bytes: their bodies, their incomplete responses, and the events that callers have not read. */
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const MAX_UNREAD_EVENT_BYTES = 64 * 1024 * 1024;
 
 /** Accepts callers' requests: finds the route and the account, reads the body and starts forwarding. */
 export class Forwarder {
     private readonly active = new Set<ForwardedRequest>();
+    /** Refusals of requests whose body still arrives. */
+    private readonly readingBody = new Set<() => void>();
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBiasEstimator();
+    private readonly bodyBytes = new ByteBudget(MAX_BODY_BYTES);
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
+    private readonly unreadEventBytes = new ByteBudget(MAX_UNREAD_EVENT_BYTES);
+    private readonly unreadAnswers: UnreadAnswers;
     private readonly ages = new RequestAgeEstimator();
     private readonly invalidResponses: InvalidResponses;
     private isTrafficSeen = false;
 
     constructor(private readonly options: ForwarderOptions) {
         this.invalidResponses = new InvalidResponses(options.logger, options.metrics.invalidResponses);
+        this.unreadAnswers = new UnreadAnswers({
+            onClose: () => {
+                options.metrics.unreadAnswersCut.inc();
+                options.logger.warn("unread-answer-cut");
+            },
+        });
     }
 
     hasReceivedRequests(): boolean {
@@ -74,16 +89,27 @@
 
     /** Counts the bytes that are held for peers, by what they are. */
     countHeldBytes(): Record<string, number> {
-        let bodies = 0;
-        let unread = 0;
-        for (const request of this.active) {
-            bodies += request.countBodyBytes();
-            unread += request.countUnreadBytes();
-        }
-        return { bodies, answers: this.answerBytes.getHeld(), unread };
+        return {
+            bodies: this.bodyBytes.getHeld(),
+            answers: this.answerBytes.getHeld(),
+            unread: this.unreadEventBytes.getHeld() + this.unreadAnswers.getHeld(),
+        };
+    }
+
+    /** Gives every request in flight its final answer, since the process ends. */
+    endAll(): void {
+        [...this.readingBody].forEach(refuseUnread => refuseUnread());
+        [...this.active].forEach(forwarded => forwarded.endForStop());
     }
 
+    /** Handles a caller's request. An exception ends this request only. */
     forward(request: IncomingMessage, response: ServerResponse): void {
+        const { codec, logger, metrics } = this.options;
+        const scope = new RequestScope({ request, response, codec, logger, metrics });
+        scope.run(() => this.forwardWithin(scope, request, response));
+    }
+
+    private forwardWithin(scope: RequestScope, request: IncomingMessage, response: ServerResponse): void {
         const { codec, metrics, isStopping } = this.options;
         const arrivedAt = performance.now();
         if (!this.isTrafficSeen) {
@@ -99,6 +125,7 @@
             ) => [name, Array.isArray(value) ? value.join(",") : value ?? ""]),
         );
         const head = codec.decodeRequest(headers);
+        scope.requestId = head.requestId;
         const table = this.options.getTable();
         const target = request.url ?? "/";
         const refuseRequest = (cause: Refusal, route = "none", quarantined?: SuspectRecord) => {
@@ -144,21 +171,46 @@
             refuseRequest(RefusalCause.Stopping, route.name);
             return;
         }
+        if (this.unreadAnswers.isFull(arrivedAt)) {
+            refuseRequest(RefusalCause.AnswersFull, route.name);
+            return;
+        }
         const configurationVersion = table.getVersion();
         const maxBytes = table.getLimits()?.maxBodyBytes ?? 0;
-        readBody(request, { maxBytes, timeoutMs }, outcome => {
+        const refuseUnread = scope.attach(() => {
+            this.readingBody.delete(refuseUnread);
+            response.setHeader("connection", "close");
+            refuseRequest(RefusalCause.Stopping, route.name);
+        });
+        scope.setCleanUp(() => this.readingBody.delete(refuseUnread));
+        this.readingBody.add(refuseUnread);
+        response.on("close", () => this.readingBody.delete(refuseUnread));
+        readBody(request, { maxBytes, budget: this.bodyBytes, timeoutMs, scope }, outcome => {
+            if (!this.readingBody.delete(refuseUnread)) {
+                // The caller has left, or the stop has refused the request.
+                if (outcome.kind === "whole") {
+                    outcome.release();
+                }
+                return;
+            }
             if (outcome.kind === "tooLarge") {
                 refuseRequest(RefusalCause.BodyTooLarge, route.name);
                 closeUnlessComplete(request, maxBytes, this.options.connections);
                 return;
             }
+            if (outcome.kind === "noMemory") {
+                refuseRequest(RefusalCause.BodiesFull, route.name);
+                closeUnlessComplete(request, maxBytes, this.options.connections);
+                return;
+            }
             if (outcome.kind === "late") {
                 // Without a close, the rest of the body would be parsed as the next request.
                 response.setHeader("connection", "close");
                 refuseRequest(RefusalCause.BodyLate, route.name);
                 return;
             }
-            const { body } = outcome;
+            const { body, release } = outcome;
+            scope.setCleanUp(release);
             const service = chooseTarget(route, Math.random());
             const forwarded = new ForwardedRequest({
                 request,
@@ -184,8 +236,12 @@
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
                 answerBytes: this.answerBytes,
+                scope,
+                unreadEventBytes: this.unreadEventBytes,
+                unreadAnswers: this.unreadAnswers,
                 invalidResponses: this.invalidResponses,
                 onEnd: () => {
+                    release();
                     this.active.delete(forwarded);
                     metrics.active.set(this.active.size);
                 },
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -2,14 +2,16 @@
 import { RequestKind, type TrafficRoute } from "@kumquathall/types";
 import { createServer, type Server } from "node:http";
 import { Registry } from "prom-client";
-import { CallerConnections } from "../callerConnections.js";
+import { CallerConnections, CloseReason } from "../callerConnections.js";
 import { CrashReporter } from "../crashReporter.js";
 import { EndpointLimits } from "../endpointLimits.js";
 import { EndpointTracker } from "../endpointTracker.js";
 import { Forwarder } from "../forwarder.js";
+import { GatewayStop } from "../gatewayStop.js";
 import { registerGatewayMetrics } from "../metrics.js";
 import { QuarantineList } from "../quarantineList.js";
 import { RouteTable } from "../routeTable.js";
+import { planStop } from "../stopPlan.js";
 import { CallerSocket } from "./callerSocket.js";
 import { PlainHeaderCodec } from "./plainHeaderCodec.js";
 import { ScriptedEndpoint } from "./scriptedEndpoint.js";
@@ -17,6 +19,8 @@
 /** Fake timers and clocks; immediates must be real, so that they run after the I/O of their turn. */
 export interface VirtualClock {
     tickAsync(ms: number): Promise<unknown>;
+    /** Advances the clock at once; the timers that become due run late. */
+    jump(ms: number): unknown;
 }
 
 export interface ForwardingHarnessOptions {
@@ -27,10 +31,13 @@
     route?: Partial<TrafficRoute>;
 }
 
-const SERVICE = "s";
+/** Name of the service that all endpoints belong to. */
+export const SERVICE = "s";
 const HOST = "h.example";
 /** Turns of the event loop in which messages between streams arrive. */
 const TURNS = 6;
+/** Virtual time between two turns in which messages arrive, in milliseconds. */
+const STEP_MS = 50;
 
 /** A gateway's forwarding in virtual time, without a network: callers and endpoints are scripted by the test. */
 export class ForwardingHarness {
@@ -40,13 +47,14 @@
     readonly forwarder: Forwarder;
     readonly tracker: EndpointTracker;
     isStopping = false;
+    private readonly registry = new Registry();
     private readonly server: Server;
     private readonly callers: CallerSocket[] = [];
     private requests = 0;
 
     constructor(private readonly options: ForwardingHarnessOptions) {
         const logger = createLogger({ write: line => this.lines.push(line) });
-        const metrics = registerGatewayMetrics(new Registry(), {
+        const metrics = registerGatewayMetrics(this.registry, {
             countLimited: () => 0,
             countPaused: () => 0,
             countHeldBytes: () => this.forwarder.countHeldBytes(),
@@ -58,9 +66,12 @@
             (_, at) => ScriptedEndpoint.register(this.tracker, SERVICE, `e${at + 1}`),
         );
         this.server = createServer({ requestTimeout: 0 }, (request, response) => {
-            this.connections.addRequest(request, response);
-            this.forwarder.forward(request, response);
+            if (this.connections.addRequest(request, response)) {
+                this.forwarder.forward(request, response);
+            }
         });
+        // From then on, Node lists the connections of a server.
+        this.server.emit("listening");
         this.connections = new CallerConnections({
             server: this.server,
             logger,
@@ -93,6 +104,27 @@
         });
     }
 
+    /** Begins to stop as on a signal, within `stopWithinMs`, and closes what is left. */
+    async stop(stopWithinMs: number): Promise<void> {
+        this.isStopping = true;
+        const { connections, forwarder } = this;
+        await new GatewayStop({ plan: planStop(stopWithinMs), connections, forwarder }).complete();
+        this.connections.closeAll(CloseReason.StopEnded);
+        this.server.close();
+    }
+
+    /** Reports that a connection has reached the idle limit, as Node does. */
+    async reportIdle(caller: CallerSocket): Promise<void> {
+        this.server.emit("timeout", caller);
+        await this.settle();
+    }
+
+    /** Reads the sum of a counter. */
+    async readCounter(name: string): Promise<number> {
+        const { values } = await this.registry.getSingleMetric(name)?.get() ?? { values: [] };
+        return values.reduce((sum, item) => sum + item.value, 0);
+    }
+
     /** Opens a caller's connection. */
     openConnection(): CallerSocket {
         const caller = new CallerSocket();
@@ -102,16 +134,24 @@
     }
 
     /** Sends a request and waits until the gateway has it. */
-    async sendRequest(caller: CallerSocket, headers: Record<string, string> = {}): Promise<void> {
+    async sendRequest(caller: CallerSocket, headers: Record<string, string> = {}, body = ""): Promise<void> {
         const lines = Object.entries({ host: HOST, "request-id": `r-${++this.requests}`, ...headers });
-        caller.send(["GET /a/ HTTP/1.1", ...lines.map(([name, value]) => `${name}: ${value}`), "", ""].join("\r\n"));
+        const head = ["POST /a/ HTTP/1.1", ...lines.map(([name, value]) => `${name}: ${value}`), "", ""];
+        caller.send(head.join("\r\n") + body);
         await this.settle();
     }
 
     /** Advances the clock and lets everything that becomes due happen. */
     async advance(ms: number): Promise<void> {
-        await this.options.clock.tickAsync(ms);
-        await this.settle();
+        for (let left = ms; left > 0; left -= STEP_MS) {
+            await this.options.clock.tickAsync(Math.min(left, STEP_MS));
+            await this.settle();
+        }
+    }
+
+    /** Stands still: the clock advances, and the timers that become due run before any input. */
+    advanceAtOnce(ms: number): void {
+        this.options.clock.jump(ms);
     }
 
     /** Lets messages between streams arrive. */
@@ -123,6 +163,7 @@
 
     close(): void {
         this.callers.forEach(caller => caller.destroy());
+        this.server.close();
         this.tracker.close();
     }
 }
--- a/packages/gateway/src/testing/plainHeaderCodec.ts
+++ b/packages/gateway/src/testing/plainHeaderCodec.ts
@@ -10,7 +10,7 @@
     override readonly readyPath = "/ready";
 
     override decodeRequest(headers: Map<string, string>): RequestHead {
-        const lastEventId = headers.get("last-event-id");
+        const lastEventId = headers.get("resume-after");
         return {
             requestId: headers.get("request-id"),
             deadlineMs: undefined,
@@ -24,13 +24,17 @@
         };
     }
 
-    override encodeForwardedRequest(_headers: HeaderField[], values: ForwardHeaderValues): Record<string, string> {
-        return values.lastEventId === undefined ? {} : { "last-event-id": String(values.lastEventId) };
+    override encodeForwardedRequest(headers: HeaderField[], values: ForwardHeaderValues): Record<string, string> {
+        const id = headers.find(field => field.name === "request-id")?.value;
+        return {
+            ...(id === undefined ? {} : { "request-id": id }),
+            ...(values.lastEventId === undefined ? {} : { "resume-after": String(values.lastEventId) }),
+        };
     }
 
     override decodeResponse(_status: number, headers: Headers): ResponseHead {
         return {
-            requestId: undefined,
+            requestId: headers["request-id"]?.toString(),
             isNotRun: headers["not-run"] !== undefined,
             isSigned: headers["signed"] !== undefined,
             isEncoded: false,
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -66,6 +66,10 @@
     },
     "stopping": { meaning: "refused, has not run: the gateway was stopping", events: ["stopping"] },
     "body-late": { meaning: "refused, has not run: its body did not arrive in time", events: [] },
+    "answers-full": {
+        meaning: "refused, has not run: callers had not read earlier answers",
+        events: ["unread-answer-cut"],
+    },
     "fenced": {
         meaning: "refused, has not run: endpoints ended each time that it, or what it carries, ran",
         events: [],
@@ -78,6 +82,7 @@
         meaning: "may have run: no complete answer before its deadline",
         events: ["engine-lost", "engine-order"],
     },
+    "stop-ended": { meaning: "may have run: the gateway stopped and had no time left for it", events: ["stopping"] },
     "caller-behind": { meaning: "the caller did not read its answer", events: [] },
     "caller-gone": { meaning: "the caller disconnected", events: [] },
     "closed-here": { meaning: "the gateway closed its connection before its end", events: ["stopping"] },
