--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -1,6 +1,6 @@
 import type { HardState, LogEntry, LogPayload } from "@kumquathall/types";
 import { computeMajorityContact, hasCommittedInTerm } from "./lease.js";
-import { countMajority, getEntries, getLastIndex, getLastTerm, getMembers, getTermAt } from "./log.js";
+import { countMajority, getEntries, getLastIndex, getLastTerm, getMembers, getMembersAt, getTermAt } from "./log.js";
 import {
     type ConsensusEffect,
     type ConsensusEvent,
@@ -52,6 +52,7 @@
         peers: {},
         heartbeatDue: 0,
         leaderSince: 0,
+        leaseSince: Number.NEGATIVE_INFINITY,
     };
 }
 
@@ -88,6 +89,9 @@
         case "persisted":
             step.handlePersisted(event.index, event.term);
             break;
+        case "suspended":
+            step.handleSuspension(event.now);
+            break;
         case "compacted":
             step.compact(event.index);
             break;
@@ -179,14 +183,22 @@
         }
     }
 
+    /** A leader asks the others at once whether they still follow; until a majority has answered it has no lease. */
+    handleSuspension(now: number): void {
+        this.update({ leaseSince: now });
+        if (this.state.role === Role.Leader) {
+            this.sendAppends(now);
+        }
+    }
+
     compact(index: number): void {
         const term = getTermAt(this.state, index);
         if (index <= this.state.snapshotIndex || term === undefined || index > this.state.commitIndex) {
             return;
         }
         const kept = getEntries(this.state, index + 1, getLastIndex(this.state));
-        const removed = { ...this.state, entries: getEntries(this.state, this.state.snapshotIndex + 1, index) };
-        this.update({ snapshotMembers: getMembers(removed), snapshotIndex: index, snapshotTerm: term, entries: kept });
+        const snapshotMembers = getMembersAt(this.state, index);
+        this.update({ snapshotMembers, snapshotIndex: index, snapshotTerm: term, entries: kept });
     }
 
     private isGuardEnabled(guard: string): boolean {
--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -3,9 +3,10 @@
 import { type Clock, type FakeMethod, install } from "@sinonjs/fake-timers";
 import { deepStrictEqual, strictEqual } from "node:assert";
 import type { CallerSocket } from "./testing/callerSocket.js";
-import { ForwardingHarness } from "./testing/forwardingHarness.js";
+import { ForwardingHarness, SERVICE } from "./testing/forwardingHarness.js";
 import {
     buildLossReport,
+    buildRivalHeartbeat,
     endResponse,
     formatEvent,
     type ScriptedAttempt,
@@ -43,7 +44,7 @@
     return Array.from({ length: EVENTS }, (_, at) => formatEvent(at + 1)).join("");
 }
 
-After({ tags: "@endpoint-silence" }, () => {
+After({ tags: "@endpoint-silence or @stream-continuation" }, () => {
     harness?.close();
     harness = undefined;
     clock?.uninstall();
@@ -81,6 +82,32 @@
 
 When("the endpoints send nothing for {int} ms", (ms: number) => getHarness().advance(ms));
 
+When(
+    "the gateway stands still for {int} ms, and then reads event {int} of each stream",
+    async (ms: number, event: number) => {
+        getHarness().advanceAtOnce(ms);
+        listOpenAttempts().forEach(attempt => sendEvents(attempt, event));
+        await getHarness().settle();
+    },
+);
+
+When("the gateway stands still for {int} ms, and then reads the answers", async (ms: number) => {
+    getHarness().advanceAtOnce(ms);
+    listOpenAttempts().forEach(attempt => sendAnswer(attempt, 200, "answer"));
+    await getHarness().settle();
+});
+
+Then("no request was sent to another endpoint", () => {
+    const sent = getHarness().endpoints.flatMap(endpoint => endpoint.attempts);
+    deepStrictEqual(sent.map(attempt => attempt.request.headers["resume-after"]), callers.map(() => undefined));
+});
+
+When("another endpoint announces the address of its endpoint", async () => {
+    const { tracker, endpoints } = getHarness();
+    tracker.record(endpoints.map(endpoint => buildRivalHeartbeat(SERVICE, endpoint.id)), performance.now());
+    await getHarness().settle();
+});
+
 When("they complete their streams with event {int}", async (last: number) => {
     for (const attempt of listOpenAttempts()) {
         sendEvents(attempt, last);
@@ -89,6 +116,11 @@
     await getHarness().settle();
 });
 
+When("the next endpoint rejects the stream", async () => {
+    listOpenAttempts().forEach(attempt => sendAnswer(attempt, 503, "", { "not-run": "1" }));
+    await getHarness().settle();
+});
+
 When("they answer with status {int}", async (status: number) => {
     listOpenAttempts().forEach(attempt => sendAnswer(attempt, status, "answer"));
     await getHarness().settle();
@@ -114,3 +146,8 @@
 Then("each caller has an answer with status {int}", (status: number) => {
     callers.forEach(caller => strictEqual(/^HTTP\/1\.1 (\d+)/.exec(caller.received)?.[1], String(status)));
 });
+
+/** The scenario under way, for the steps of other files. */
+export function getSilenceScenario() {
+    return { harness: getHarness(), callers, sendRequests, listOpenAttempts };
+}
--- a/packages/gateway/src/eventStreamParser.ts
+++ b/packages/gateway/src/eventStreamParser.ts
@@ -5,10 +5,14 @@
 const ID_PATTERN = /^id:\s*(\d{1,15})\s*$/m;
 /** Largest event that is held until it is complete, in bytes. */
 export const MAX_EVENT_BYTES = 1024 * 1024;
+/** Lines without which a block is no event: comments, and the time after which to connect again. */
+const COMMENT_PATTERN = /^(?:(?::|retry:)[^\n]*)?\r?$/;
 
 /** One complete event of a stream, with its bytes unchanged. */
 export interface StreamEvent {
     id: number | undefined;
+    /** It carries nothing that belongs to the stream's content. */
+    isComment: boolean;
     bytes: Buffer;
 }
 
@@ -103,6 +107,11 @@
 }
 
 function decodeEvent(bytes: Buffer): StreamEvent {
-    const id = ID_PATTERN.exec(bytes.toString("latin1"))?.[1];
-    return { id: id === undefined ? undefined : Number(id), bytes };
+    const text = bytes.toString("latin1");
+    const id = ID_PATTERN.exec(text)?.[1];
+    return {
+        id: id === undefined ? undefined : Number(id),
+        isComment: id === undefined && text.split("\n").every(line => COMMENT_PATTERN.test(line)),
+        bytes,
+    };
 }
--- a/packages/gateway/src/retryAllowance.ts
+++ b/packages/gateway/src/retryAllowance.ts
@@ -6,6 +6,8 @@
 export const NoRetry = {
     /** It may run only once. */
     NotRepeatable: "not-repeatable",
+    /** The caller has events of its stream after which no endpoint can go on. */
+    NotResumable: "not-resumable",
     /** As many endpoints as the route allows may have run it, or too many were lost. */
     Endpoints: "endpoints",
     /** Too many endpoints have rejected it. */
@@ -38,6 +40,7 @@
     private usedEndpoints = 0;
     private lostEndpoints = 0;
     private rejections = 0;
+    private canResume = true;
     /** Why the latest retry was not granted. */
     private refusal: NoRetryValue | undefined;
 
@@ -58,6 +61,11 @@
         return this.decide(this.findObstacle({ isEndpointLost }));
     }
 
+    /** Records that the caller has an event after which the stream can't be resumed. */
+    recordUnidentifiedEvent(): void {
+        this.canResume = false;
+    }
+
     /** Counts an attempt that may have run. Lost endpoints do not count towards the route's limit. */
     recordRun(isEndpointLost: boolean): void {
         this.mayHaveRun = true;
@@ -71,6 +79,11 @@
         return this.decide(this.rejections < MAX_REJECTIONS ? undefined : NoRetry.Rejections);
     }
 
+    /** Takes a retry for a stream that has begun and that endpoints have rejected; `false` if there is none. */
+    takeRetryOfStream(): boolean {
+        return this.decide(this.hasTime() ? undefined : NoRetry.Time);
+    }
+
     /** Takes a retry after an attempt that may have run; `false` if there is none. */
     takeRetry(): boolean {
         return this.decide(this.findObstacle(undefined));
@@ -83,16 +96,23 @@
 
     /** Finds what forbids a retry, once the endpoint that runs the request now, if there is one, counts as well. */
     private findObstacle(running: { isEndpointLost: boolean } | undefined): NoRetryValue | undefined {
-        const { route, timing } = this.options;
+        const { route } = this.options;
         if (!this.isRepeatable()) {
             return NoRetry.NotRepeatable;
         }
+        if (!this.canResume) {
+            return NoRetry.NotResumable;
+        }
         const used = this.usedEndpoints + (running?.isEndpointLost === false ? 1 : 0);
         const lost = this.lostEndpoints + (running?.isEndpointLost === true ? 1 : 0);
         if (used >= route.maxEndpoints || lost >= MAX_LOST_ENDPOINTS) {
             return NoRetry.Endpoints;
         }
-        return timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS ? undefined : NoRetry.Time;
+        return this.hasTime() ? undefined : NoRetry.Time;
+    }
+
+    private hasTime(): boolean {
+        return this.options.timing.getRemainingMs(performance.now()) > MIN_ATTEMPT_MS;
     }
 
     /** Takes a retry out of the budget unless there is an obstacle. */
--- a/packages/gateway/src/testing/callerSocket.ts
+++ b/packages/gateway/src/testing/callerSocket.ts
@@ -4,6 +4,8 @@
 export class CallerSocket extends Duplex {
     /** What the gateway has written and the caller has read. */
     received = "";
+    /** Idle time after which the connection is closed, in milliseconds; 0 for none. */
+    idleLimitMs = 0;
     private isReading = true;
     private readonly unread: { text: string; confirm: () => void }[] = [];
 
@@ -16,6 +18,12 @@
         this.on("error", () => undefined);
     }
 
+    /** Called by the HTTP server, as for a socket. */
+    setTimeout(idleLimitMs: number): this {
+        this.idleLimitMs = idleLimitMs;
+        return this;
+    }
+
     /** Sends bytes to the gateway. */
     send(text: string): void {
         this.push(text);
@@ -35,15 +43,13 @@
         }
     }
 
-    /** The body of the latest response, without the framing of its chunks. */
+    /** The body of the only response, without the framing of its chunks. */
     getStream(): string {
-        const body = this.received.slice(this.received.lastIndexOf("HTTP/1.1 ")).split("\r\n\r\n").slice(1).join(
-            "\r\n\r\n",
-        );
+        const body = this.received.split("\r\n\r\n").slice(1).join("\r\n\r\n");
         return body.replaceAll(/(?:^|\r\n)[0-9a-f]+\r\n/g, "").replace(/\r\n$/, "");
     }
 
-    /** Whether the latest response has its last chunk. */
+    /** Whether the response has its last chunk. */
     hasWholeStream(): boolean {
         return this.received.endsWith("\r\n0\r\n\r\n");
     }
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -19,6 +19,8 @@
 /** Fake timers and clocks; immediates must be real, so that they run after the I/O of their turn. */
 export interface VirtualClock {
     tickAsync(ms: number): Promise<unknown>;
+    /** Advances the clock at once; the timers that become due run late. */
+    jump(ms: number): unknown;
 }
 
 export interface ForwardingHarnessOptions {
@@ -29,10 +31,13 @@
     route?: Partial<TrafficRoute>;
 }
 
-const SERVICE = "s";
+/** Name of the service that all endpoints belong to. */
+export const SERVICE = "s";
 const HOST = "h.example";
 /** Turns of the event loop in which messages between streams arrive. */
 const TURNS = 6;
+/** Virtual time between two turns in which messages arrive, in milliseconds. */
+const STEP_MS = 50;
 
 /** A gateway's forwarding in virtual time, without a network: callers and endpoints are scripted by the test. */
 export class ForwardingHarness {
@@ -42,13 +47,14 @@
     readonly forwarder: Forwarder;
     readonly tracker: EndpointTracker;
     isStopping = false;
+    private readonly registry = new Registry();
     private readonly server: Server;
     private readonly callers: CallerSocket[] = [];
     private requests = 0;
 
     constructor(private readonly options: ForwardingHarnessOptions) {
         const logger = createLogger({ write: line => this.lines.push(line) });
-        const metrics = registerGatewayMetrics(new Registry(), {
+        const metrics = registerGatewayMetrics(this.registry, {
             countLimited: () => 0,
             countPaused: () => 0,
             countHeldBytes: () => this.forwarder.countHeldBytes(),
@@ -60,8 +66,9 @@
             (_, at) => ScriptedEndpoint.register(this.tracker, SERVICE, `e${at + 1}`),
         );
         this.server = createServer({ requestTimeout: 0 }, (request, response) => {
-            this.connections.addRequest(request, response);
-            this.forwarder.forward(request, response);
+            if (this.connections.addRequest(request, response)) {
+                this.forwarder.forward(request, response);
+            }
         });
         // From then on, Node lists the connections of a server.
         this.server.emit("listening");
@@ -106,6 +113,18 @@
         this.server.close();
     }
 
+    /** Reports that a connection has reached the idle limit, as Node does. */
+    async reportIdle(caller: CallerSocket): Promise<void> {
+        this.server.emit("timeout", caller);
+        await this.settle();
+    }
+
+    /** Reads the sum of a counter. */
+    async readCounter(name: string): Promise<number> {
+        const { values } = await this.registry.getSingleMetric(name)?.get() ?? { values: [] };
+        return values.reduce((sum, item) => sum + item.value, 0);
+    }
+
     /** Opens a caller's connection. */
     openConnection(): CallerSocket {
         const caller = new CallerSocket();
@@ -124,8 +143,15 @@
 
     /** Advances the clock and lets everything that becomes due happen. */
     async advance(ms: number): Promise<void> {
-        await this.options.clock.tickAsync(ms);
-        await this.settle();
+        for (let left = ms; left > 0; left -= STEP_MS) {
+            await this.options.clock.tickAsync(Math.min(left, STEP_MS));
+            await this.settle();
+        }
+    }
+
+    /** Stands still: the clock advances, and the timers that become due run before any input. */
+    advanceAtOnce(ms: number): void {
+        this.options.clock.jump(ms);
     }
 
     /** Lets messages between streams arrive. */
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -1,4 +1,5 @@
 import { describeError, KumquathallError } from "@kumquathall/errors";
+import { PeerTimer } from "@kumquathall/peer-timers";
 import type { Socket } from "node:net";
 import { encodeFrame, FrameDecoder, FrameError } from "./frame.js";
 
@@ -69,17 +70,16 @@
 interface PendingCall {
     resolve: (message: unknown) => void;
     reject: (error: Error) => void;
-    timer: NodeJS.Timeout;
+    timer: PeerTimer;
 }
 
 /** Connection to a peer, with its heartbeats and pending calls. */
 export class Link {
     /** Set when the peer's first frame has arrived. */
     peer: PeerIdentity | undefined;
-    private readonly decoder = new FrameDecoder();
+    private readonly decoder = new FrameDecoder(error => this.reportFault("frame", error));
     private readonly pendingCalls = new Map<number, PendingCall>();
     private nextCallId = 1;
-    private lastReceivedAt = performance.now();
     private lastSentAt = 0;
     private isClosed = false;
     private sentBytes = 0;
@@ -87,13 +87,16 @@
     private outgoing: Buffer[] = [];
     private isFlushScheduled = false;
     private readonly heartbeatTimer: NodeJS.Timeout;
+    private readonly silenceTimer: PeerTimer;
 
     constructor(private readonly socket: Socket, private readonly options: LinkOptions) {
         socket.setNoDelay(true);
         socket.on("data", data => this.handleData(data));
         socket.on("error", error => this.close(error.message));
         socket.on("close", () => this.close("closed by peer"));
-        this.heartbeatTimer = setInterval(() => this.checkHeartbeat(), this.getHeartbeatIntervalMs());
+        this.heartbeatTimer = setInterval(() => this.sendHeartbeat(), this.getHeartbeatIntervalMs());
+        this.silenceTimer = new PeerTimer({ onExpire: () => this.close("heartbeat timeout") });
+        this.silenceTimer.start(this.getHeartbeatTimeoutMs());
         this.sendFrame({ t: "hello", identity: options.identity });
     }
 
@@ -112,19 +115,20 @@
     }
 
     /**
-     * Sends a one-way message. It is dropped if the link is closed; a message that no frame holds closes the link.
-     * `encoded` is the message's frame, if it was sent over another link before.
+     * Sends a one-way message. It is dropped if the link is closed, and if no frame holds it; the link stays open.
+     * `encoded` is the message's frame, if it was sent over another link before. Returns whether a frame holds it.
      */
-    cast(message: unknown, encoded?: Buffer): void {
+    cast(message: unknown, encoded?: Buffer): boolean {
         try {
             this.sendData(encoded ?? encodeCast(message));
+            return true;
         }
         catch (error) {
             if (!(error instanceof FrameError)) {
                 throw error;
             }
             this.reportFault("sent-message", error);
-            this.close(describeError(error));
+            return false;
         }
     }
 
@@ -135,10 +139,13 @@
         }
         const id = this.nextCallId++;
         return new Promise((resolve, reject) => {
-            const timer = setTimeout(() => {
-                this.pendingCalls.delete(id);
-                reject(new LinkError(`call timed out after ${timeoutMs} ms`));
-            }, timeoutMs);
+            const timer = new PeerTimer({
+                onExpire: () => {
+                    this.pendingCalls.delete(id);
+                    reject(new LinkError(`call timed out after ${timeoutMs} ms`));
+                },
+            });
+            timer.start(timeoutMs);
             this.pendingCalls.set(id, { resolve, reject, timer });
             try {
                 this.sendFrame({ t: "call", id, m: message });
@@ -157,22 +164,17 @@
         this.flush();
         this.isClosed = true;
         clearInterval(this.heartbeatTimer);
+        this.silenceTimer.stop();
         this.socket.destroy();
         for (const call of this.pendingCalls.values()) {
-            clearTimeout(call.timer);
+            call.timer.stop();
             call.reject(new LinkError(`the link was closed: ${reason}`));
         }
         this.pendingCalls.clear();
         this.options.handlers.onClose?.(this, reason);
     }
 
-    private checkHeartbeat(): void {
-        if (
-            performance.now() - this.lastReceivedAt > (this.options.heartbeatTimeoutMs ?? DEFAULT_HEARTBEAT_TIMEOUT_MS)
-        ) {
-            this.close("heartbeat timeout");
-            return;
-        }
+    private sendHeartbeat(): void {
         // Any recently sent frame serves as a heartbeat.
         if (performance.now() - this.lastSentAt >= this.getHeartbeatIntervalMs() / 2) {
             this.sendFrame({ t: "ping" });
@@ -183,6 +185,10 @@
         return this.options.heartbeatIntervalMs ?? DEFAULT_HEARTBEAT_INTERVAL_MS;
     }
 
+    private getHeartbeatTimeoutMs(): number {
+        return this.options.heartbeatTimeoutMs ?? DEFAULT_HEARTBEAT_TIMEOUT_MS;
+    }
+
     private sendFrame(frame: LinkFrame): void {
         this.sendData(encodeFrame(frame));
     }
@@ -214,7 +220,7 @@
     }
 
     private handleData(data: Buffer): void {
-        this.lastReceivedAt = performance.now();
+        this.silenceTimer.start(this.getHeartbeatTimeoutMs());
         this.receivedBytes += data.length;
         let frames: unknown[];
         try {
@@ -235,7 +241,7 @@
 
     private handleFrame(frame: LinkFrame): void {
         if (typeof frame !== "object" || frame === null) {
-            this.close("received a frame that is not an object");
+            this.reportFault("frame", new FrameError("a frame is not an object"));
             return;
         }
         if (this.peer === undefined && frame.t !== "hello") {
@@ -261,28 +267,37 @@
                 this.handleCast(frame.m);
                 return;
             default:
-                this.close("received a frame of unknown type");
+                this.reportFault("frame", new FrameError("a frame is of an unknown type"));
         }
     }
 
-    /** Delivers a one-way message. One that its receiver can't handle closes the link; the process runs on. */
+    /** Delivers a one-way message. One that its receiver can't handle is dropped; the link stays open. */
     private handleCast(message: unknown): void {
         try {
             this.options.handlers.onCast?.(message, this);
         }
         catch (error) {
             this.reportFault("cast", error);
-            this.close(`a received message can't be handled: ${describeError(error)}`);
         }
     }
 
     private handleHello(identity: PeerIdentity): void {
-        if (identity?.cluster !== this.options.identity.cluster) {
-            this.close(`the peer belongs to cluster "${identity?.cluster}"`);
+        if (typeof identity?.id !== "string" || typeof identity.role !== "string") {
+            this.close("the peer's identity has no id or role");
+            return;
+        }
+        if (identity.cluster !== this.options.identity.cluster) {
+            this.close(`the peer belongs to cluster "${identity.cluster}"`);
             return;
         }
         this.peer = identity;
-        this.options.handlers.onOpen?.(this);
+        try {
+            this.options.handlers.onOpen?.(this);
+        }
+        catch (error) {
+            this.reportFault("cast", error);
+            this.close(`the link can't be opened: ${describeError(error)}`);
+        }
     }
 
     private reportFault(kind: LinkFault["kind"], error: unknown): void {
@@ -293,7 +308,7 @@
         const call = this.pendingCalls.get(id);
         if (call !== undefined) {
             this.pendingCalls.delete(id);
-            clearTimeout(call.timer);
+            call.timer.stop();
         }
         return call;
     }
@@ -309,18 +324,27 @@
     }
 }
 
-/** Sends a one-way message over several links; it is encoded once. A message that no frame holds closes the links. */
-export function castToAll(links: Link[], message: unknown): void {
-    let encoded: Buffer | undefined;
+/**
+ * Sends a one-way message over several links; it is encoded once. Returns whether a frame holds it; otherwise it is
+ * dropped, and the first link reports it.
+ */
+export function castToAll(links: Link[], message: unknown): boolean {
+    const [first, ...others] = links;
+    if (others.length === 0) {
+        return first?.cast(message) ?? true;
+    }
+    let encoded: Buffer;
     try {
-        encoded = links.length > 1 ? encodeCast(message) : undefined;
+        encoded = encodeCast(message);
     }
     catch (error) {
         if (!(error instanceof FrameError)) {
             throw error;
         }
+        return first.cast(message);
     }
     links.forEach(link => link.cast(message, encoded));
+    return true;
 }
 
 function encodeCast(message: unknown): Buffer {
