Gather what an agent buffers for the entry; count chunks with what they cost

An engine whose stream comes in pieces of one byte made its agent hold, number and send each of them by itself.

Cause: the buffer that lets a new connection resume a response counted bytes only. A piece of one byte takes some hundred, and the limit of 32 MB of all runs was compared with the bytes.

What arrives in one read of the connection, and what waits for credit, now goes into one chunk of up to 64 KiB, and each chunk counts with 256 bytes beside its own.

--- a/packages/agent/src/outputBuffer.ts
+++ b/packages/agent/src/outputBuffer.ts
@@ -1,8 +1,21 @@
-/** Buffers the chunks of one response, so that a new connection can resume it. Sending is limited by credit. */
+import { ByteCollector } from "@kumquathall/byte-collector";
+
+/** Bytes that are gathered into one chunk before the next one begins. */
+const MAX_CHUNK_BYTES = 64 * 1024;
+/** Memory that a chunk takes beside its bytes, in bytes. */
+const CHUNK_OVERHEAD_BYTES = 256;
+
+/**
+ * Buffers one response in numbered chunks, so that a new connection can resume it. Sending is limited by credit. What
+ * arrives before the next chunk is sent joins it, since each chunk costs far more than a few bytes.
+ */
 export class OutputBuffer {
     private readonly chunks: Uint8Array[] = [];
+    /** Bytes that no chunk holds yet. */
+    private gathered = new ByteCollector({ maxBytes: Number.POSITIVE_INFINITY });
     /** Sequence number of the first buffered chunk. */
     private firstBuffered = 0;
+    /** Bytes of the buffered chunks. */
     private bytes = 0;
     private nextToSend = 0;
     private credit: number;
@@ -11,19 +24,19 @@
         this.credit = credit;
     }
 
-    /** Number of buffered bytes. */
+    /** Memory that is held, in bytes. */
     getBytes(): number {
-        return this.bytes;
+        return this.bytes + this.gathered.length + this.chunks.length * CHUNK_OVERHEAD_BYTES;
     }
 
     /** Counts all chunks of the response so far, including dropped ones. */
     countChunks(): number {
-        return this.firstBuffered + this.chunks.length;
+        return this.firstBuffered + this.chunks.length + (this.gathered.length > 0 ? 1 : 0);
     }
 
     /** Counts the bytes that have not been sent yet. */
     countUnsentBytes(): number {
-        let sum = 0;
+        let sum = this.gathered.length;
         for (let at = this.nextToSend - this.firstBuffered; at < this.chunks.length; at++) {
             sum += this.chunks[at].length;
         }
@@ -31,8 +44,10 @@
     }
 
     push(chunk: Uint8Array): void {
-        this.chunks.push(chunk);
-        this.bytes += chunk.length;
+        this.gathered.add(chunk);
+        if (this.gathered.length >= MAX_CHUNK_BYTES) {
+            this.completeChunk();
+        }
     }
 
     addCredit(bytes: number): void {
@@ -41,8 +56,14 @@
 
     /** Takes the next chunk if there is one and credit is above zero. The credit may drop below zero by one chunk. */
     takeNext(): { sequence: number; data: Uint8Array } | undefined {
+        if (this.credit <= 0) {
+            return undefined;
+        }
+        if (this.nextToSend === this.firstBuffered + this.chunks.length) {
+            this.completeChunk();
+        }
         const data = this.chunks[this.nextToSend - this.firstBuffered];
-        if (data === undefined || this.credit <= 0) {
+        if (data === undefined) {
             return undefined;
         }
         this.credit -= data.length;
@@ -64,14 +85,23 @@
         return true;
     }
 
-    /** Drops the chunks that have been sent; they can then no longer be resent. Returns the number of dropped bytes. */
+    /** Drops the chunks that have been sent; they can then no longer be resent. Returns the number of freed bytes. */
     dropSent(): number {
-        let dropped = 0;
+        const before = this.getBytes();
         while (this.firstBuffered < this.nextToSend) {
-            dropped += this.chunks.shift()?.length ?? 0;
+            this.bytes -= this.chunks.shift()?.length ?? 0;
             this.firstBuffered++;
         }
-        this.bytes -= dropped;
-        return dropped;
+        return before - this.getBytes();
+    }
+
+    private completeChunk(): void {
+        if (this.gathered.length === 0) {
+            return;
+        }
+        const chunk = this.gathered.join();
+        this.chunks.push(chunk);
+        this.bytes += chunk.length;
+        this.gathered = new ByteCollector({ maxBytes: Number.POSITIVE_INFINITY });
     }
 }
--- a/packages/agent/src/runTask.ts
+++ b/packages/agent/src/runTask.ts
@@ -45,6 +45,7 @@
     private isCancelled = false;
     /** Resumes the run when it waits for the entry. */
     private wake: (() => void) | undefined;
+    private isFlushScheduled = false;
     private detachTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: RunTaskOptions) {
@@ -180,7 +181,7 @@
         for await (const chunk of response.body) {
             digest.update(chunk);
             this.output.push(chunk);
-            this.flush();
+            this.scheduleFlush();
             while (this.output.countUnsentBytes() > MAX_UNSENT_BYTES && !this.isCancelled) {
                 await new Promise<void>(resolve => {
                     this.wake = resolve;
@@ -190,6 +191,7 @@
                 return { kind: "cancelled" };
             }
         }
+        this.flush();
         this.finishStream();
         await this.waitUntilFlushed();
         return { kind: "complete", answer: { status: response.status, headers: response.headers, body: undefined } };
@@ -213,6 +215,19 @@
         });
     }
 
+    /** Sends what arrives in one read of the connection together. */
+    private scheduleFlush(): void {
+        if (this.isFlushScheduled) {
+            return;
+        }
+        this.isFlushScheduled = true;
+        setImmediate(() => {
+            this.isFlushScheduled = false;
+            this.flush();
+            this.wake?.();
+        });
+    }
+
     private flush(): void {
         if (this.link === undefined) {
             return;
