Keep an exception in a stream's wait for a retry to that stream

A stream that has begun and that the next endpoints reject waits for a retry. Its timer was the one callback of a request outside the request's boundary: an exception there ended the gateway, with everything in flight.

Evidence: @request-scope, 'An exception at waitForRetry', fails before (the exception leaves the timer), 16 of 16 scenarios pass.

--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -179,7 +179,7 @@
 
     /** Waits for a retry of a stream that has begun: closing its connection would waste what its caller has. */
     private waitForRetry(): void {
-        this.choiceTimer = setTimeout(() => {
+        const takeRetry = this.options.scope.attach(() => {
             if (!this.retries.takeRetryOfStream()) {
                 this.waitForRetry();
                 return;
@@ -188,7 +188,8 @@
             this.rejectedKeys.forEach(key => this.triedKeys.delete(key));
             this.rejectedKeys.clear();
             this.sendNext();
-        }, REPLACEMENT_CHECK_MS);
+        });
+        this.choiceTimer = setTimeout(takeRetry, REPLACEMENT_CHECK_MS);
     }
 
     private stopWaiting(): void {
--- a/packages/gateway/src/requestScope.feature
+++ b/packages/gateway/src/requestScope.feature
@@ -27,3 +27,4 @@
             | writeHeadOnce          | the first event of a stream  | status 500          |
             | recordFirstContent     | the second event of a stream | a closed connection |
             | finishForStop          | the end of the process       | status 500          |
+            | waitForRetry           | the wait of a stream         | a closed connection |
--- a/packages/gateway/src/requestScope.steps.ts
+++ b/packages/gateway/src/requestScope.steps.ts
@@ -15,11 +15,16 @@
 } from "./testing/scriptedEndpoint.js";
 
 const FAKED: FakeMethod[] = ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance", "Date"];
+/** Methods that only streams reach, and those at which the test injects the fault later. */
+const STREAM_POINTS = ["writeHeadOnce", "recordFirstContent", "waitForRetry"];
+const LATE_POINTS = ["recordFirstContent", "waitForRetry"];
 const FAULTY_ID = "faulty";
 const FAULT = "an injected fault";
 const TIMEOUT_MS = 4000;
 /** Longer than an endpoint may be silent before a retry is considered, and shorter than the timeout. */
 const STALL_MS = 3500;
+/** Longer than the interval at which a stream looks for a retry. */
+const RETRY_WAIT_MS = 300;
 
 type Method = (this: unknown, ...values: unknown[]) => unknown;
 
@@ -64,15 +69,15 @@
     "a gateway with two endpoints, each with a request, of which the first fails at {word}",
     async (point: string) => {
         clock = install({ toFake: FAKED });
-        const isStream = point === "writeHeadOnce" || point === "recordFirstContent";
+        const isStream = STREAM_POINTS.includes(point);
         const route = {
             kind: isStream ? RequestKind.Streaming : RequestKind.Idempotent,
-            isResumable: false,
+            isResumable: point === "waitForRetry",
             timeoutMs: TIMEOUT_MS,
         };
-        harness = new ForwardingHarness({ clock, endpoints: 2, route });
+        harness = new ForwardingHarness({ clock, endpoints: 2, route, retrySlack: point === "waitForRetry" ? 1 : 0 });
         injectFault(point);
-        isArmed = point !== "recordFirstContent";
+        isArmed = !LATE_POINTS.includes(point);
         first = harness.openConnection();
         second = harness.openConnection();
         await harness.sendRequest(first, { "request-id": FAULTY_ID });
@@ -80,14 +85,23 @@
     },
 );
 
-function getAttempt(id: string): ScriptedAttempt {
-    const found = harness.endpoints.flatMap(endpoint => endpoint.attempts).find(attempt =>
+function getAttempts(id: string): ScriptedAttempt[] {
+    const found = harness.endpoints.flatMap(endpoint => endpoint.attempts).filter(attempt =>
         attempt.request.headers["request-id"] === id
     );
-    if (found === undefined) {
+    if (found.length === 0) {
         throw new Error(`no endpoint has the request ${id}`);
     }
-    return found;
+    // The first attempt of a stream is the one that begins it.
+    return found.sort((left, right) => countResumed(left) - countResumed(right));
+}
+
+function countResumed({ request }: ScriptedAttempt): number {
+    return request.headers["resume-after"] === undefined ? 0 : 1;
+}
+
+function getAttempt(id: string): ScriptedAttempt {
+    return getAttempts(id)[0];
 }
 
 /** Answers with an event, which is a whole stream or a whole body. */
@@ -122,6 +136,16 @@
         isArmed = true;
         sendEvents(getAttempt(FAULTY_ID), 2);
     },
+    "the wait of a stream": async () => {
+        answerSoundRequest();
+        const [begun] = getAttempts(FAULTY_ID);
+        sendEvents(begun, 1);
+        begun.handler.onFailure(new Error("reset"), true);
+        const [, next] = getAttempts(FAULTY_ID);
+        sendAnswer(next, 503, "", { "not-run": "1" });
+        isArmed = true;
+        await harness.advance(RETRY_WAIT_MS);
+    },
     "the end of the process": async () => {
         answerSoundRequest();
         await harness.settle();
