Believe a later start under an endpoint's id only if its writer goes on

One entry of another writer with the id of a sound endpoint and a later start ended the requests in flight there, at every gateway, and no further request was sent to it for as long as it ran: its own heartbeats counted as those of an older incarnation.

The former incarnation is kept: its requests may complete, it gets no new ones, and if its heartbeats outlive those of the other by 3 s, it is the one that runs. An endpoint that has started again is used at once, as before; a sidecar's observation still ends what its former self ran.

--- a/packages/endpoint-registry/src/endpointRegistry.feature
+++ b/packages/endpoint-registry/src/endpointRegistry.feature
@@ -67,6 +67,26 @@
         When the sidecar of "h:1" reaches incarnation 200
         Then endpoint "a" is lost
 
+    # Guards against a sound endpoint that one entry of another writer, with its id and a later start, replaces for good.
+    Scenario: An endpoint whose heartbeats outlive the announcement of a later start under its id is alive
+        Given endpoint "a" started at 100 sends a heartbeat from "h:1" with sequence 1
+        And endpoint "a" started at 200 sends a heartbeat from "h:9" with sequence 1
+        Then endpoint "a" has the newest start time 200
+        When endpoint "a" started at 100 goes on with its heartbeats from "h:1" for 5000 ms
+        Then endpoint "a" has the newest start time 100
+        And endpoint "a" is alive
+        # The same announcement again changes nothing while the endpoint goes on.
+        When a heartbeat of endpoint "a" started at 200 from "h:9" arrives 5500 ms late
+        Then endpoint "a" has the newest start time 100
+
+    Scenario: An endpoint that has started again under its id stays replaced
+        Given endpoint "a" started at 100 sends a heartbeat from "h:1" with sequence 1
+        And endpoint "a" started at 200 sends a heartbeat from "h:9" with sequence 1
+        When endpoint "a" started at 200 goes on with its heartbeats from "h:9" for 6000 ms
+        And a heartbeat of endpoint "a" started at 100 from "h:1" arrives 6500 ms late
+        Then endpoint "a" has the newest start time 200
+        And endpoint "a" is alive
+
     Scenario: Facts produce the same endpoints in any order of arrival
         Given 60 random facts for each of 30 seeds
         Then every order of arrival produces the same endpoints
--- a/packages/endpoint-registry/src/endpointRegistry.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.ts
@@ -60,6 +60,14 @@
     at: number;
 }
 
+/** The newest heartbeat of an id. */
+type TimedHeartbeat = Timed<HeartbeatFact> & {
+    /** Newest heartbeat of the incarnation that this one has replaced. */
+    former?: Timed<HeartbeatFact>;
+    /** Start of an incarnation that announced itself under the id and fell silent while this one went on. */
+    refutedBornMs?: number;
+};
+
 type TimedObservation = Timed<ObservationFact> & {
     lastGroupName: string | undefined;
     /** The incarnation that was observed before this one, and the start of the sidecar that observed it. */
@@ -76,7 +84,7 @@
 
 /** Stores the newest fact of each kind per endpoint. Times are monotonic milliseconds of the local process. */
 export class EndpointRegistry {
-    private readonly heartbeats = new Map<string, Timed<HeartbeatFact>>();
+    private readonly heartbeats = new Map<string, TimedHeartbeat>();
     private readonly departures = new Map<string, Timed<DepartureFact>>();
     /** Newest observations, by address. */
     private readonly observations = new Map<string, TimedObservation>();
@@ -127,6 +135,20 @@
         return [...this.heartbeats.values()].map(item => this.buildView(item));
     }
 
+    /**
+     * Lists the incarnations that another one has replaced under their id. They get no new requests; what they run may
+     * complete, since the announcement may be wrong.
+     */
+    listFormerViews(): EndpointView[] {
+        return [...this.heartbeats.values()].flatMap(({ former }) => {
+            if (former === undefined) {
+                return [];
+            }
+            const view = this.buildView(former);
+            return [{ ...view, isLost: true, isLossAnnounced: view.isLossAnnounced || !view.isLost }];
+        });
+    }
+
     /** Finds the newest incarnation at an address. */
     findView(address: string): EndpointView | undefined {
         const item = this.heartbeats.get(this.getNewestIds().get(address) ?? "");
@@ -157,17 +179,26 @@
     }
 
     private recordHeartbeat(fact: HeartbeatFact, now: number): FactEffectValue {
-        const known = this.heartbeats.get(fact.id)?.fact;
-        const isOlder = known !== undefined
-            && (fact.bornMs < known.bornMs || (fact.bornMs === known.bornMs && fact.sequence <= known.sequence));
-        if (isOlder) {
+        const item = this.heartbeats.get(fact.id);
+        const known = item?.fact;
+        if (item !== undefined && fact.bornMs < item.fact.bornMs) {
+            return this.recordFormer(item, fact, now);
+        }
+        const isRefuted = item?.refutedBornMs === fact.bornMs && now - item.at <= TAKE_OVER_MS;
+        if (isRefuted || (known?.bornMs === fact.bornMs && fact.sequence <= known.sequence)) {
             return FactEffect.None;
         }
         // Heartbeats of departed incarnations are recorded too, because they show that older incarnations at the
         // address are lost. Leaving is final for an incarnation: a heartbeat with `isLeaving` false does not revoke it.
         const isLeaving = fact.isLeaving || (known?.bornMs === fact.bornMs && known.isLeaving);
         const wasTaken = this.isAddressTaken(fact.id);
-        this.heartbeats.set(fact.id, { fact: { ...fact, isLeaving }, at: now });
+        const former = known?.bornMs === fact.bornMs ? item?.former : item;
+        this.heartbeats.set(fact.id, {
+            fact: { ...fact, isLeaving },
+            at: now,
+            former: former === undefined ? undefined : { fact: former.fact, at: former.at },
+            refutedBornMs: known?.bornMs === fact.bornMs ? item?.refutedBornMs : undefined,
+        });
         if (known?.bornMs !== fact.bornMs || known.address !== fact.address) {
             this.newestIds = undefined;
         }
@@ -182,6 +213,28 @@
             : compareEngines(known.engine, fact.engine);
     }
 
+    /**
+     * Records a heartbeat of an incarnation that another one has replaced under its id. One announcement proves nothing: if
+     * the heartbeats of the former outlive those of the newer, the former is the one that runs.
+     */
+    private recordFormer(item: TimedHeartbeat, fact: HeartbeatFact, now: number): FactEffectValue {
+        const { former } = item;
+        const isOlder = former !== undefined && (fact.bornMs < former.fact.bornMs
+            || (fact.bornMs === former.fact.bornMs && fact.sequence <= former.fact.sequence));
+        if (isOlder) {
+            return FactEffect.None;
+        }
+        const isLeaving = fact.isLeaving || (former?.fact.bornMs === fact.bornMs && former.fact.isLeaving);
+        const heard = { fact: { ...fact, isLeaving }, at: now };
+        if (former === undefined || now <= item.at + TAKE_OVER_MS) {
+            item.former = heard;
+            return FactEffect.None;
+        }
+        this.heartbeats.set(fact.id, { ...heard, refutedBornMs: item.fact.bornMs });
+        this.newestIds = undefined;
+        return FactEffect.State;
+    }
+
     private recordDeparture(fact: DepartureFact, now: number): FactEffectValue {
         const known = this.departures.get(fact.id);
         if (known !== undefined && known.fact.bornMs >= fact.bornMs) {
--- a/packages/gateway/src/endpointTracker.feature
+++ b/packages/gateway/src/endpointTracker.feature
@@ -27,3 +27,19 @@
             | "with a group of an unknown state"      | "engine.group.state"      |
             | "with a fractional rank"                | "engine.group.rank"       |
             | "with half of a character in its zone"  | "dataCentre"              |
+
+    # Guards against requests at a sound endpoint that end because of one entry with its id and a later start, and against
+    # an endpoint that gets no requests after it.
+    Scenario: An entry with the id of a sound endpoint and a later start ends none of its requests
+        Given a gateway with a sound endpoint that runs a request
+        When an entry with its id and a later start, at another address, arrives
+        Then the request goes on
+        When the sound endpoint goes on with its heartbeats for 5000 ms
+        Then the request goes on
+        And new requests go to the sound endpoint
+
+    Scenario: The requests of an endpoint that has started again end once nothing of the former is left
+        Given a gateway with a sound endpoint that runs a request
+        When an entry with its id and a later start, at another address, arrives
+        And the newer incarnation is observed at the address of the former
+        Then the request has ended as lost
--- a/packages/gateway/src/endpointTracker.steps.ts
+++ b/packages/gateway/src/endpointTracker.steps.ts
@@ -1,8 +1,8 @@
-import { Given, Then } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import { EndpointRegistry, type EndpointView } from "@kumquathall/endpoint-registry";
 import { listEngineGroups } from "@kumquathall/engine-groups";
 import { createLogger } from "@kumquathall/logger";
-import { type EndpointFact, EngineGroupState, type EngineStatus } from "@kumquathall/types";
+import { type EndpointFact, EngineGroupState, type EngineStatus, type RequestTraits } from "@kumquathall/types";
 import fc from "fast-check";
 import { deepStrictEqual, match } from "node:assert";
 import { EndpointTracker } from "./endpointTracker.js";
@@ -209,3 +209,59 @@
 Then("it logs the refused fact with its writer and the reason {string}", (reason: string) => {
     match(loggedLines.join("\n"), new RegExp(`event=input-refused .*reason=.*${reason}.*writer=member-1`));
 });
+
+const HEARTBEAT_MS = 1200;
+const LATER_START = 2;
+const LATER_ADDRESS = "10.0.0.9:8080";
+
+let lossReasons: string[] = [];
+
+Given("a gateway with a sound endpoint that runs a request", () => {
+    lossReasons = [];
+    sentTracker = new EndpointTracker({ getService: () => undefined, logger });
+    sentTracker.record([soundFact] as EndpointFact[], 0);
+    const [endpoint] = sentTracker.listPlainEndpoints("plain", 0);
+    endpoint.inFlight.add({
+        sentAt: 0,
+        headAt: undefined,
+        firstContentAt: undefined,
+        promptTokens: 0,
+        hasStarted: true,
+        describe: () => ({ subjects: [] }) as unknown as RequestTraits,
+        onLost: reason => lossReasons.push(reason),
+        onClosed: () => undefined,
+    });
+});
+
+When("an entry with its id and a later start, at another address, arrives", () => {
+    sentTracker.record([{ ...soundFact, bornMs: LATER_START, address: LATER_ADDRESS }] as EndpointFact[], 0);
+});
+
+When("the sound endpoint goes on with its heartbeats for {int} ms", (durationMs: number) => {
+    for (let now = HEARTBEAT_MS; now <= durationMs; now += HEARTBEAT_MS) {
+        sentTracker.record([{ ...soundFact, sequence: now }] as EndpointFact[], now);
+    }
+});
+
+When("the newer incarnation is observed at the address of the former", () => {
+    const observation = { observerStartedMs: 1, number: 1, isReachable: true, engine: undefined };
+    sentTracker.record([{
+        kind: "observation",
+        address: soundFact.address,
+        bornMs: LATER_START,
+        ...observation,
+    }], 0);
+});
+
+Then("the request goes on", () => deepStrictEqual(lossReasons, []));
+
+Then("new requests go to the sound endpoint", () => {
+    const chosen = sentTracker.listPlainEndpoints("plain", HEARTBEAT_MS);
+    deepStrictEqual(chosen.map(endpoint => endpoint.view.address), [soundFact.address]);
+    sentTracker.close();
+});
+
+Then("the request has ended as lost", () => {
+    deepStrictEqual(lossReasons, ["its endpoint is lost"]);
+    sentTracker.close();
+});
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -306,7 +306,9 @@
     /** Rebuilds the data derived from facts and fails the requests in flight at lost endpoints and broken groups. */
     private refresh(): void {
         const views = this.registry.listViews();
-        this.views = new Map(views.map(view => [formatEndpointKey(view), view]));
+        this.views = new Map(
+            [...this.registry.listFormerViews(), ...views].map(view => [formatEndpointKey(view), view]),
+        );
         this.headsByModel = new Map();
         this.paceByHead = new Map();
         this.servingGroups = new Map();
