Bound the ids of endpoints, and forget those that are gone at gateways too

Each heartbeat or departure under a new id was kept, for a minute at control members and for good at gateways: entries of another writer, or a year of restarts, fill the heap and end the process with everything in flight.

Cause: facts were bounded one by one, by their size, and not by their number; a gateway never called the expiry of its registry.

The registry knows 24,000 ids, twice the stated target, since each endpoint may have started again. A gateway forgets what has been silent for 60 s while facts of others arrived without a pause, is not in use and is not an engine in service, so that nothing is forgotten because control can't be reached.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -137,6 +137,11 @@
         }
     }
 
+    /** Whether a fact about an endpoint can be recorded; `false` for an unknown id if ids are too many. */
+    hasRoomForEndpoint(fact: EndpointFact): boolean {
+        return this.endpointTask?.hasRoom(fact) !== false;
+    }
+
     /** Replaces the seeds, for example after the settings were reloaded. */
     setSeeds(seeds: string[]): void {
         this.directory?.setSeeds(seeds.filter(seed => seed !== this.settings.listen));
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -53,6 +53,7 @@
 const FORMER_LEADER_ORDERS_MS = 2000;
 /** An endpoint without facts for this long is dropped, in milliseconds; a shorter partition loses no endpoint. */
 const FORGET_AFTER_MS = 60_000;
+const TOO_MANY = "more endpoints are known than may be";
 /** Epochs reserved for each term; more than a leader creates in its term. */
 const EPOCHS_PER_TERM = 2 ** 24;
 /** Time from the end of a group's formation until the head reports that it serves, in milliseconds. */
@@ -101,7 +102,7 @@
      */
     record(fact: EndpointFact, writer = ""): boolean {
         const now = performance.now();
-        const reason = findFactFault(fact);
+        const reason = findFactFault(fact) ?? (this.registry.hasRoom(fact, now) ? undefined : TOO_MANY);
         if (reason !== undefined) {
             this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
             return false;
@@ -138,6 +139,11 @@
         return fact.kind !== "heartbeat" || this.filter.mustExchange(fact, effect, now);
     }
 
+    /** Whether a fact is about a known endpoint, or ids are not too many. */
+    hasRoom(fact: EndpointFact): boolean {
+        return this.registry.hasRoom(fact, performance.now());
+    }
+
     /** Lets a member that has linked anew receive the next heartbeat of each endpoint. */
     addMember(): void {
         this.filter.restartExchange();
--- a/packages/endpoint-registry/src/endpointRegistry.feature
+++ b/packages/endpoint-registry/src/endpointRegistry.feature
@@ -113,3 +113,19 @@
         Then endpoint "a" is leaving
         When endpoint "a" started at 300 sends a heartbeat from "h:1" with sequence 1
         Then the endpoints are "a"
+
+    # Guards against a process that forgets no id, and whose memory entries under ever new ids fill.
+    Scenario: Entries under ever new ids are known up to a limit, and known endpoints go on
+        Given a registry of at most 100 endpoints
+        And endpoint "a" started at 100 sends a heartbeat from "h:1" with sequence 1
+        When 1000 entries under new ids arrive within 5 s
+        Then 100 endpoints are known, and 901 entries were not recorded
+        When endpoint "a" started at 100 goes on with its heartbeats from "h:1" for 12000 ms
+        Then a new endpoint is recorded at 12000 ms
+        And endpoint "a" is alive
+        And the 99 ids that made room are reported as forgotten
+
+    Scenario: Departures of ever new ids are known up to a limit
+        Given a registry of at most 100 endpoints
+        When 1000 departures of new ids arrive within 5 s
+        Then 100 facts are known
--- a/packages/endpoint-registry/src/endpointRegistry.steps.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.steps.ts
@@ -198,3 +198,55 @@
 Then("endpoint {string} is lost", (id: string) => strictEqual(getView(id)?.isLost, true));
 
 Then("endpoint {string} is alive", (id: string) => strictEqual(getView(id)?.isLost, false));
+
+let refused = 0;
+
+Given("a registry of at most {int} endpoints", (maxEndpoints: number) => {
+    registry = new EndpointRegistry({ expireAfterMs: EXPIRE_AFTER_MS, maxEndpoints });
+    refused = 0;
+});
+
+/** Records facts at equal intervals, unless there is no room for them. */
+function recordWithin(facts: EndpointFact[], durationMs: number): void {
+    facts.forEach((fact, at) => {
+        const now = at * durationMs / facts.length;
+        if (getRegistry().hasRoom(fact, now)) {
+            getRegistry().record(fact, now);
+        }
+        else {
+            refused++;
+        }
+    });
+}
+
+When("{int} entries under new ids arrive within {int} s", (count: number, seconds: number) => {
+    const entries = Array.from({ length: count }, (_, at) => buildHeartbeat(`n${at}`, 1, `h:${at + 2}`, 1, false));
+    recordWithin(entries, seconds * HEARTBEAT_MS);
+});
+
+When("{int} departures of new ids arrive within {int} s", (count: number, seconds: number) => {
+    const departures = Array.from({ length: count }, (_, at): EndpointFact => ({
+        kind: "departure",
+        id: `n${at}`,
+        bornMs: 1,
+    }));
+    recordWithin(departures, seconds * HEARTBEAT_MS);
+});
+
+Then("{int} endpoints are known, and {int} entries were not recorded", (known: number, expected: number) => {
+    strictEqual(getRegistry().listViews().length, known);
+    strictEqual(refused, expected);
+});
+
+Then("{int} facts are known", (count: number) => strictEqual(getRegistry().listFacts().length, count));
+
+Then("a new endpoint is recorded at {int} ms", (now: number) => {
+    const fact = buildHeartbeat("new", 1, "h:0", 1, false);
+    strictEqual(getRegistry().hasRoom(fact, now), true);
+    getRegistry().record(fact, now);
+    strictEqual(getView("new")?.isLost, false);
+});
+
+Then("the {int} ids that made room are reported as forgotten", (count: number) => {
+    strictEqual(getRegistry().expire(0).length, count);
+});
--- a/packages/endpoint-registry/src/endpointRegistry.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.ts
@@ -12,6 +12,8 @@
     expireAfterMs: number;
     /** Time without observations of an address after which any observation is accepted, in milliseconds. */
     observerTimeoutMs?: number;
+    /** Most ids that are known at a time. */
+    maxEndpoints?: number;
 }
 
 /** What a fact changes, from nothing to which endpoints serve. */
@@ -82,6 +84,16 @@
  */
 const TAKE_OVER_MS = 3000;
 
+/**
+ * Ids that are known at a time: twice the 12,000 endpoints of the largest deployment, since each may have started again
+ * under a new id before its former one is forgotten.
+ */
+const DEFAULT_MAX_ENDPOINTS = 24_000;
+/** Where ids are too many, those without a heartbeat for this long make room, in milliseconds: five heartbeats. */
+const SILENT_MS = 6000;
+/** Interval between searches for ids that make room, in milliseconds. */
+const MAKE_ROOM_INTERVAL_MS = 1000;
+
 /** Stores the newest fact of each kind per endpoint. Times are monotonic milliseconds of the local process. */
 export class EndpointRegistry {
     private readonly heartbeats = new Map<string, TimedHeartbeat>();
@@ -90,9 +102,46 @@
     private readonly observations = new Map<string, TimedObservation>();
     /** Id of the newest incarnation at each address; `undefined` until it is needed again after a change. */
     private newestIds: Map<string, string> | undefined;
+    /** When ids that make room were last searched for. */
+    private madeRoomAt = Number.NEGATIVE_INFINITY;
+    /** Ids that have made room since the latest call of `expire`. */
+    private madeRoom: string[] = [];
 
     constructor(private readonly options: EndpointRegistryOptions) {}
 
+    /**
+     * Whether a fact about an endpoint can be recorded: it is known, or ids are not too many. Forgets ids that have fallen
+     * silent if they are, so that entries of other writers don't keep sound endpoints out.
+     */
+    hasRoom(fact: EndpointFact, now: number): boolean {
+        if (fact.kind === "observation" || this.heartbeats.has(fact.id)) {
+            return true;
+        }
+        const { maxEndpoints = DEFAULT_MAX_ENDPOINTS } = this.options;
+        const known = fact.kind === "heartbeat" ? this.heartbeats : this.departures;
+        const isSearched = now - this.madeRoomAt < MAKE_ROOM_INTERVAL_MS;
+        if (known.size >= maxEndpoints && !isSearched) {
+            this.madeRoomAt = now;
+            this.madeRoom.push(...this.removeSilent(now - SILENT_MS, () => false));
+        }
+        return known.size < maxEndpoints;
+    }
+
+    /** Removes what is known of endpoints that were last seen before a time, unless `mustKeep`; returns their ids. */
+    removeSilent(before: number, mustKeep: (view: EndpointView) => boolean): string[] {
+        const ids = this.listViews().flatMap(view => view.lastSeenAt < before && !mustKeep(view) ? [view.id] : []);
+        ids.forEach(id => this.heartbeats.delete(id));
+        this.newestIds = ids.length > 0 ? undefined : this.newestIds;
+        for (const facts of [this.departures, this.observations]) {
+            for (const [key, item] of facts) {
+                if (item.at < before && !this.isNeeded(item.fact)) {
+                    facts.delete(key);
+                }
+            }
+        }
+        return ids;
+    }
+
     /** Records a fact; returns what it changes. */
     record(fact: EndpointFact, now: number): FactEffectValue {
         switch (fact.kind) {
@@ -155,7 +204,7 @@
         return item === undefined ? undefined : this.buildView(item);
     }
 
-    /** Removes expired facts; returns the ids of the endpoints whose heartbeat has expired. */
+    /** Removes expired facts; returns the ids of the endpoints that are no longer known since the latest call. */
     expire(now: number): string[] {
         const expiredIds = [...this.heartbeats].flatMap(([id, item]) =>
             now - item.at > this.options.expireAfterMs ? [id] : []
@@ -170,7 +219,14 @@
         if (expiredIds.length > 0) {
             this.newestIds = undefined;
         }
-        return expiredIds;
+        const removedIds = [...expiredIds, ...this.madeRoom.filter(id => !this.heartbeats.has(id))];
+        this.madeRoom = [];
+        return removedIds;
+    }
+
+    /** Whether a fact says something of an endpoint that is known. */
+    private isNeeded(fact: EndpointFact): boolean {
+        return fact.kind === "observation" ? this.getNewestIds().has(fact.address) : this.heartbeats.has(fact.id);
     }
 
     /** An incarnation that sends heartbeats on after its departure is still leaving. */
--- a/packages/gateway/src/endpointTracker.feature
+++ b/packages/gateway/src/endpointTracker.feature
@@ -43,3 +43,18 @@
         When an entry with its id and a later start, at another address, arrives
         And the newer incarnation is observed at the address of the former
         Then the request has ended as lost
+
+    # Guards against a gateway that keeps every id that it was ever told of, and against one that forgets sound endpoints
+    # because control can't be reached.
+    Scenario Outline: An endpoint without heartbeats is forgotten once control has told of others <how>
+        Given a gateway with a sound endpoint that runs <requests> request
+        When another endpoint sends heartbeats <how>
+        And stale endpoints are removed
+        Then the sound endpoint is <outcome>
+
+        Examples:
+            | how                        | requests | outcome   |
+            | for 90 s without a pause   | no       | forgotten |
+            | for 90 s without a pause   | a        | known     |
+            | once, after 90 s           | no       | known     |
+            | for 50 s without a pause   | no       | known     |
--- a/packages/gateway/src/endpointTracker.steps.ts
+++ b/packages/gateway/src/endpointTracker.steps.ts
@@ -4,7 +4,7 @@
 import { createLogger } from "@kumquathall/logger";
 import { type EndpointFact, EngineGroupState, type EngineStatus, type RequestTraits } from "@kumquathall/types";
 import fc from "fast-check";
-import { deepStrictEqual, match } from "node:assert";
+import { deepStrictEqual, match, strictEqual } from "node:assert";
 import { EndpointTracker } from "./endpointTracker.js";
 
 const SEED = 7;
@@ -216,11 +216,14 @@
 
 let lossReasons: string[] = [];
 
-Given("a gateway with a sound endpoint that runs a request", () => {
+Given(/^a gateway with a sound endpoint that runs (a|no) request$/, (requests: string) => {
     lossReasons = [];
     sentTracker = new EndpointTracker({ getService: () => undefined, logger });
     sentTracker.record([soundFact] as EndpointFact[], 0);
     const [endpoint] = sentTracker.listPlainEndpoints("plain", 0);
+    if (requests === "no") {
+        return;
+    }
     endpoint.inFlight.add({
         sentAt: 0,
         headAt: undefined,
@@ -265,3 +268,27 @@
     deepStrictEqual(lossReasons, ["its endpoint is lost"]);
     sentTracker.close();
 });
+
+const MS_PER_SECOND = 1000;
+
+function recordOther(now: number): void {
+    const other = { ...soundFact, id: "other", address: LATER_ADDRESS, sequence: now };
+    sentTracker.record([other] as EndpointFact[], now);
+}
+
+When("another endpoint sends heartbeats for {int} s without a pause", (seconds: number) => {
+    for (let now = HEARTBEAT_MS; now <= seconds * MS_PER_SECOND; now += HEARTBEAT_MS) {
+        recordOther(now);
+    }
+});
+
+When("another endpoint sends heartbeats once, after {int} s", (seconds: number) => {
+    recordOther(seconds * MS_PER_SECOND);
+});
+
+When("stale endpoints are removed", () => sentTracker.removeStale());
+
+Then(/^the sound endpoint is (known|forgotten)$/, (expected: string) => {
+    strictEqual(sentTracker.hasEndpoint("sound@1"), expected === "known");
+    sentTracker.close();
+});
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -15,6 +15,7 @@
 import { EndpointHealth } from "./endpointHealth.js";
 import { EndpointPause } from "./endpointPause.js";
 import { EndpointPool } from "./endpointPool.js";
+import { FactFlow } from "./factFlow.js";
 import { isRefusingConnections } from "./isRefusingConnections.js";
 
 /** One endpoint with its connection pool and this gateway's requests in flight. */
@@ -82,6 +83,7 @@
 }
 
 const FORGET_AFTER_MS = 60_000;
+const TOO_MANY = "more endpoints are known than may be";
 /** Control forwards unchanged observations of endpoints that head no group every 5 s. */
 const OBSERVER_TIMEOUT_MS = 15_000;
 /** Number of broken attempts that are kept for each endpoint. */
@@ -130,6 +132,7 @@
     private headsByModel = new Map<string, EndpointView[]>();
 
     private readonly faults: InputFaultLog;
+    private readonly flow = new FactFlow();
 
     constructor(private readonly options: EndpointTrackerOptions) {
         this.faults = options.faults ?? new InputFaultLog(options);
@@ -139,8 +142,9 @@
     record(facts: EndpointFact[], now: number, writer = ""): void {
         let isStateChanged = false;
         const addresses = new Set<string>();
+        this.flow.record(now);
         for (const fact of facts) {
-            const reason = findFactFault(fact);
+            const reason = findFactFault(fact) ?? (this.registry.hasRoom(fact, now) ? undefined : TOO_MANY);
             if (reason !== undefined) {
                 this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
                 continue;
@@ -261,8 +265,19 @@
         return [...this.endpoints.values()].filter(endpoint => endpoint.pause.isPaused(now)).length;
     }
 
-    /** Removes what is kept of incarnations that are no longer known. */
+    /**
+     * Removes what is kept of endpoints that are gone. Control refreshes engines only while they change, so silent ones are
+     * kept unless they are lost or leaving.
+     */
     removeStale(): void {
+        const silentBefore = this.flow.findSilentBefore(FORGET_AFTER_MS);
+        if (silentBefore !== undefined) {
+            const ids = this.registry.removeSilent(silentBefore, view => this.mustKeep(view, silentBefore));
+            if (ids.length > 0) {
+                this.options.logger.debug("endpoints-forgotten", { count: ids.length });
+                this.refresh();
+            }
+        }
         for (const key of this.leaving.keys()) {
             if (!this.registry.hasIncarnation(key)) {
                 this.leaving.delete(key);
@@ -270,6 +285,13 @@
         }
     }
 
+    private mustKeep(view: EndpointView, silentBefore: number): boolean {
+        const endpoint = this.endpoints.get(formatEndpointKey(view));
+        const isInUse = endpoint !== undefined
+            && (endpoint.inFlight.size > 0 || endpoint.lastResponseAt >= silentBefore);
+        return isInUse || (view.engine !== undefined && !view.isLost && !view.isLeaving);
+    }
+
     /** Records that the first content of a response has arrived. */
     recordFirstContent(endpoint: TrackedEndpoint, sent: SentRequest, now: number): void {
         sent.firstContentAt = now;
