Go on while the disk of a control member is full

Cause: every error of the disk counted as one after which nothing is known of the file. After ENOSPC or EDQUOT it is known: what was synced before is there, and the rest can be cut off.

What waits is bounded.

In all simulations an end for a full disk counts as a violation now.

--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -54,6 +54,8 @@
 const DEFAULT_SNAPSHOT_EVERY = 4000;
 /** Most entries kept in the log after a snapshot covers them, so that a slightly lagging member needs no snapshot. */
 const MAX_KEPT_ENTRIES = 1000;
+/** Entries that may wait for the disk, in bytes of their payloads; a member whose disk stays full or slow ends above. */
+const MAX_WAITING_BYTES = 64 * 1024 * 1024;
 
 /** An effect that waits for a disk write, or the start of a log segment after this member took a snapshot. */
 type OutboxItem<Payload> = ConsensusEffect<Payload> | { kind: "startSegment"; snapshot: Snapshot };
@@ -74,6 +76,8 @@
     private proposals: PendingProposal<Payload, Result>[] = [];
     private isProposalScheduled = false;
     private outbox: OutboxItem<Payload>[] = [];
+    /** Bytes of the payloads in the outbox and in the write under way. */
+    private waitingBytes = 0;
     private isSnapshotting = false;
     private isWriting = false;
     private isClosed = false;
@@ -250,6 +254,7 @@
             }
             if (effect.kind === "persist" || effect.kind === "installSnapshot") {
                 mustWait = true;
+                this.waitingBytes += this.measurePayloads(effect);
             }
             if (mustWait || this.mustWaitForWrite(effect)) {
                 this.outbox.push(effect);
@@ -258,9 +263,18 @@
                 this.deliver(effect);
             }
         }
+        if (this.waitingBytes > MAX_WAITING_BYTES) {
+            this.fail(new Error(`${this.waitingBytes} bytes wait for the disk. Make room on it, or replace it`));
+            return;
+        }
         this.scheduleWrite();
     }
 
+    private measurePayloads(effect: OutboxItem<Payload>): number {
+        const entries = effect.kind === "persist" ? effect.entries : [];
+        return entries.reduce((sum, entry) => sum + (this.timing.measurePayload?.(entry.payload) ?? 0), 0);
+    }
+
     /** Answers and vote requests rely on queued writes, so they wait for them; appends and pre-votes do not. */
     private mustWaitForWrite(effect: ConsensusEffect<Payload>): boolean {
         if (this.outbox.length === 0 && !this.isWriting) {
@@ -290,6 +304,7 @@
                 const batch = this.outbox;
                 this.outbox = [];
                 await this.writeBatch(batch);
+                this.waitingBytes -= batch.reduce((sum, item) => sum + this.measurePayloads(item), 0);
             }
         }
         catch (error) {
@@ -401,6 +416,9 @@
     }
 
     private fail(error: unknown): void {
+        if (this.isClosed) {
+            return;
+        }
         this.options.logger.error("storage-failed", { message: String(error) });
         this.isClosed = true;
         clearInterval(this.timer);
--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -178,7 +178,13 @@
 
     private async open(): Promise<void> {
         const { context, settings } = this;
-        const { store, recovered } = await LogStore.open<Command>({ disk: new NodeDisk(settings.dataFolder) });
+        const { store, recovered } = await LogStore.open<Command>({
+            disk: new NodeDisk(settings.dataFolder),
+            onFull: isFull =>
+                isFull
+                    ? context.logger.warn("disk-full", { folder: settings.dataFolder })
+                    : context.logger.info("disk-has-room", { folder: settings.dataFolder }),
+        });
         this.runtime = new ConsensusRuntime<Command, CommandResult>({
             id: this.id,
             members: this.members,
@@ -216,7 +222,11 @@
             logger: context.logger,
         });
         this.openTasks();
-        registerControlMetrics(context.metrics, this.runtime, this.stateMachine);
+        registerControlMetrics(context.metrics, {
+            runtime: this.runtime,
+            stateMachine: this.stateMachine,
+            isDiskFull: () => store.isDiskFull(),
+        });
         this.listener = await LinkListener.listen({
             address: parseAddress(settings.listen),
             tls: context.tls?.(),
--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -6,14 +6,26 @@
 
 const MS_PER_SECOND = 1000;
 
+export interface ControlMetricSources {
+    runtime: ConsensusRuntime<Command, CommandResult>;
+    stateMachine: ControlStateMachine;
+    /** Whether a write of this member waits for room on its disk. */
+    isDiskFull: () => boolean;
+}
+
 /** Registers the gauges of a control member; values are read when metrics are collected. */
 export function registerControlMetrics(
     metrics: Registry,
-    runtime: ConsensusRuntime<Command, CommandResult>,
-    stateMachine: ControlStateMachine,
+    { runtime, stateMachine, isDiskFull }: ControlMetricSources,
 ): void {
     const registers = [metrics];
     addGauge(registers, "kumquathall_control_is_leader", "1 on the leader", () => runtime.canServe() ? 1 : 0);
+    addGauge(
+        registers,
+        "kumquathall_control_disk_full",
+        "1 while a write waits for room on the disk",
+        () => isDiskFull() ? 1 : 0,
+    );
     addGauge(registers, "kumquathall_control_term", "Current term", () => runtime.getState().hardState.term);
     addGauge(
         registers,
--- a/packages/matrix/src/durability.feature
+++ b/packages/matrix/src/durability.feature
@@ -7,6 +7,18 @@
         When operators publish to 5 control VMs for 8 s amid disruptions, with seeds 1 to 8
         Then nothing acknowledged is lost or shown in an older state, and no process ends for another reason than its disk
 
+    # Guards against changes that stay unanswered while a disk is full, and after it has room again: a process that ends, a
+    # torn block amid the log, a snapshot or a segment that is never written.
+    Scenario Outline: While the disks of <vms> control VMs are full in turn, changes are acknowledged
+        When operators publish to <vms> control VMs for 20 s amid "full disks in turn", with seeds 1 to 8
+        Then nothing acknowledged is lost or shown in an older state, and no process ends for another reason than its disk
+        And no more than 4000 ms pass without an acknowledgement
+
+        Examples:
+            | vms |
+            | 3   |
+            | 5   |
+
     Scenario Outline: The simulation detects that the guard <guard> is disabled
         When operators publish to 5 control VMs for 8 s amid "<disruptions>", with seeds 1 to 5, without "<guard>"
         Then something acknowledged is lost or shown in an older state
--- a/packages/matrix/src/durability.steps.ts
+++ b/packages/matrix/src/durability.steps.ts
@@ -8,6 +8,7 @@
 
 let violations: string[] = [];
 let acknowledged: number[] = [];
+let pausesMs: number[] = [];
 
 async function runSeeds(
     vms: number,
@@ -18,10 +19,12 @@
 ): Promise<void> {
     violations = [];
     acknowledged = [];
+    pausesMs = [];
     for (let seed = first; seed <= last; seed++) {
         const result = await DurabilitySimulation.run({ seed, vms, durationMs: seconds * 1000, ...options });
         violations.push(...result.violations.map(text => `seed ${seed}: ${text}`));
         acknowledged.push(result.acknowledged);
+        pausesMs.push(result.longestPauseMs);
     }
 }
 
@@ -31,6 +34,13 @@
     (vms: number, seconds: number, first: number, last: number) => runSeeds(vms, seconds, first, last),
 );
 
+When(
+    "operators publish to {int} control VMs for {int} s amid {string}, with seeds {int} to {int}",
+    TIMEOUT,
+    (vms: number, seconds: number, kind: string, first: number, last: number) =>
+        runSeeds(vms, seconds, first, last, { kinds: [kind] }),
+);
+
 When(
     "operators publish to {int} control VMs for {int} s amid {string}, with seeds {int} to {int}, without {string}",
     TIMEOUT,
@@ -46,4 +56,8 @@
     },
 );
 
+Then("no more than {int} ms pass without an acknowledgement", (most: number) => {
+    ok(pausesMs.every(ms => ms <= most), `longest pauses: ${pausesMs.map(Math.round).join()} ms`);
+});
+
 Then("something acknowledged is lost or shown in an older state", () => ok(violations.length > 0));
--- a/packages/matrix/src/durabilityFaults.ts
+++ b/packages/matrix/src/durabilityFaults.ts
@@ -1,3 +1,4 @@
+import type { DiskFailure } from "@kumquathall/storage";
 import type { ControlNetwork } from "./controlNetwork.js";
 import type { ControlVm } from "./controlVm.js";
 
@@ -26,8 +27,9 @@
     end?: () => void;
 }
 
-/** Texts of the errors of disks that refuse writes, after which a process may end. */
-export const DISK_FAILURES = ["no space left on device", "input/output error"] as const;
+const DISK_FULL: DiskFailure = { message: "no space left on device", code: "ENOSPC" };
+/** Failure of a disk after which a process may end. */
+export const DISK_BROKEN: DiskFailure = { message: "input/output error", code: "EIO" };
 
 type Builder = (simulation: FaultTarget) => Disruption | undefined;
 
@@ -51,8 +53,16 @@
     "slow link": simulation => buildSlowness(simulation, simulation.network.slowness, 150),
     "slow leader loses disk": buildLeaderLoss,
     "slow disk": simulation => buildSlowness(simulation, simulation.network.diskSlowness, 400),
-    "full disk": simulation => buildDiskFailure(simulation, DISK_FAILURES[0]),
-    "failing disk": simulation => buildDiskFailure(simulation, DISK_FAILURES[1]),
+    "full disk": simulation => buildDiskFailure(simulation, DISK_FULL),
+    "failing disk": simulation => buildDiskFailure(simulation, DISK_BROKEN),
+};
+
+/** Disruptions that occur only where they are named. */
+const NAMED_DISRUPTIONS: Record<string, Builder> = {
+    "full disks in turn": simulation =>
+        simulation.network.listVms().some(vm => vm.disk.failure !== undefined)
+            ? undefined
+            : buildDiskFailure(simulation, DISK_FULL),
 };
 
 /** Chooses a disruption by the simulation's random source; `undefined` if the chosen one is not possible now. */
@@ -61,7 +71,9 @@
     kinds: readonly string[] = Object.keys(DISRUPTIONS),
 ): Disruption | undefined {
     const kind = simulation.pick(kinds);
-    const disruption = kind === undefined ? undefined : DISRUPTIONS[kind](simulation);
+    const disruption = kind === undefined
+        ? undefined
+        : { ...DISRUPTIONS, ...NAMED_DISRUPTIONS }[kind](simulation);
     return disruption === undefined ? undefined : { ...disruption, name: `${kind}: ${disruption.name}` };
 }
 
@@ -201,7 +213,7 @@
     };
 }
 
-function buildDiskFailure(simulation: FaultTarget, text: string): Disruption | undefined {
+function buildDiskFailure(simulation: FaultTarget, failure: DiskFailure): Disruption | undefined {
     const vm = simulation.pick(listUp(simulation));
     if (vm === undefined) {
         return undefined;
@@ -210,7 +222,7 @@
     return {
         name: vm.options.address,
         lastsMs: 300 + Math.floor(simulation.random() * 2500),
-        begin: () => disk.failure = text,
+        begin: () => disk.failure = failure,
         end: () => disk.failure = undefined,
     };
 }
--- a/packages/matrix/src/durabilitySimulation.ts
+++ b/packages/matrix/src/durabilitySimulation.ts
@@ -2,7 +2,7 @@
 import { ControlNetwork } from "./controlNetwork.js";
 import type { ControlProcess, ControlVm } from "./controlVm.js";
 import { buildSimulatedTraffic } from "./deliverySimulation.js";
-import { chooseDisruption, DISK_FAILURES, type Disruption, type FaultTarget } from "./durabilityFaults.js";
+import { chooseDisruption, DISK_BROKEN, type Disruption, type FaultTarget } from "./durabilityFaults.js";
 import { createRandom } from "./random.js";
 import { runInVirtualTime, type VirtualTime } from "./virtualTime.js";
 
@@ -23,6 +23,8 @@
     /** What was lost, shown in an older state or not served in time. */
     violations: string[];
     acknowledged: number;
+    /** Longest time without an acknowledgement from the founding to the final fault, in milliseconds. */
+    longestPauseMs: number;
     reads: number;
     disruptions: string[];
 }
@@ -38,19 +40,27 @@
 const CATCH_UP_MS = 4000;
 const RECOVER_MS = 12_000;
 const STEP_MS = 50;
-const TOLERATED_DISKS = 2;
+const MAX_TOLERATED_DISKS = 2;
 const CALL_MS = 1000;
 
 /** Operators that publish to and read from a control group while its VMs, disks and links fail. */
 export class DurabilitySimulation implements FaultTarget {
     readonly random: () => number;
     readonly network: ControlNetwork;
-    readonly result: DurabilityResult = { violations: [], acknowledged: 0, reads: 0, disruptions: [] };
+    readonly result: DurabilityResult = {
+        violations: [],
+        acknowledged: 0,
+        longestPauseMs: 0,
+        reads: 0,
+        disruptions: [],
+    };
     /** Documents that were sent, by version. */
     private readonly sent = new Map<number, Set<string>>();
     /** Document that was read first, by version. */
     private readonly seen = new Map<number, string>();
     private newestAcknowledged = 0;
+    /** When the latest acknowledgement came while pauses are measured; `undefined` otherwise. */
+    private acknowledgedAt: number | undefined;
     private version = 0;
     private isStopped = false;
     /** Called at the next acknowledgement. */
@@ -60,10 +70,13 @@
     /** When VMs whose disk was lost are back, by address; they count as lost until the group has been calm since. */
     private readonly diskBackAt = new Map<string, number>();
     private calmSince = 0;
+    /** A minority of the members. */
+    private readonly toleratedDisks: number;
     private nextAddress = 1;
 
     private constructor(private readonly options: DurabilityOptions, readonly time: VirtualTime) {
         this.random = createRandom(options.seed);
+        this.toleratedDisks = Math.min(MAX_TOLERATED_DISKS, Math.floor((options.vms - 1) / 2));
         for (let draw = 0; draw < 10; draw++) {
             this.random();
         }
@@ -76,7 +89,7 @@
             snapshotEvery: this.random() < 0.5 ? 10 : 64,
             disabledGuard: options.disabledGuard,
             onProcessFailure: (address, error) => {
-                if (!DISK_FAILURES.some(text => String(error).includes(text))) {
+                if (!String(error).includes(DISK_BROKEN.message)) {
                     this.fail(`the process at ${address} has ended: ${String(error)}`);
                 }
             },
@@ -106,7 +119,7 @@
     countSpareDisks(): number {
         const now = performance.now();
         const isLost = (backAt: number) => now < Math.max(backAt, this.calmSince) + CATCH_UP_MS;
-        return TOLERATED_DISKS - [...this.diskBackAt.values()].filter(isLost).length;
+        return this.toleratedDisks - [...this.diskBackAt.values()].filter(isLost).length;
     }
 
     /** Replaces the disk by an empty one; the VM is back after a time. */
@@ -140,13 +153,24 @@
         }
         void this.readOften();
         await this.advance(FOUNDING_MS);
+        this.acknowledgedAt = performance.now();
         const endsAt = performance.now() + this.options.durationMs;
         while (performance.now() < endsAt) {
             await this.attemptDisruption();
         }
+        this.recordPause();
+        this.acknowledgedAt = undefined;
         await this.executeFinalFault();
     }
 
+    private recordPause(): void {
+        if (this.acknowledgedAt !== undefined) {
+            const now = performance.now();
+            this.result.longestPauseMs = Math.max(this.result.longestPauseMs, now - this.acknowledgedAt);
+            this.acknowledgedAt = now;
+        }
+    }
+
     private async advance(ms: number): Promise<void> {
         await this.time.advanceTimers(ms);
     }
@@ -202,7 +226,7 @@
     private async executeFinalFault(): Promise<void> {
         // Disruptions under way end first; VMs that are down come back by themselves.
         await this.advance(Math.floor(this.random() * 8000) + 4000);
-        while (this.countSpareDisks() < TOLERATED_DISKS) {
+        while (this.countSpareDisks() < this.toleratedDisks) {
             await this.advance(STEP_MS);
         }
         await this.waitForAcknowledgement(() => this.startFinalFault());
@@ -226,7 +250,7 @@
             });
             return;
         }
-        const lost = [...vms].sort(() => this.random() - 0.5).slice(0, TOLERATED_DISKS);
+        const lost = [...vms].sort(() => this.random() - 0.5).slice(0, this.toleratedDisks);
         lost.forEach(vm => this.replaceDisk(vm, backMs()));
         if (kind === "disks and power") {
             vms.filter(vm => !lost.includes(vm)).forEach(vm => {
@@ -300,6 +324,7 @@
             return false;
         }
         this.result.acknowledged++;
+        this.recordPause();
         this.newestAcknowledged = Math.max(this.newestAcknowledged, traffic.version);
         this.options.onLine?.(`${performance.now().toFixed(0)} ++ ${traffic.version} at ${process.id}`);
         const strike = this.onAcknowledged;
--- a/packages/storage/src/logStore.ts
+++ b/packages/storage/src/logStore.ts
@@ -2,8 +2,9 @@
 import type { HardState, LogEntry, Snapshot } from "@kumquathall/types";
 import type { Disk, DiskFile } from "./disk.js";
 import { decodeBlocks, encodeBlock, StorageError } from "./record.js";
+import { RoomWaiter, type RoomWaiterOptions } from "./roomWaiter.js";
 
-export interface LogStoreOptions {
+export interface LogStoreOptions extends RoomWaiterOptions {
     disk: Disk;
 }
 
@@ -27,22 +28,37 @@
 const TEMPORARY_SUFFIX = ".tmp";
 const SNAPSHOT_PATTERN = /^snapshot-(\d{16})$/;
 
-/** The replicated log of one member on disk: segments of checksummed blocks, and the newest snapshot. */
+/**
+ * The replicated log of one member on disk: segments of checksummed blocks, and the newest snapshot. Writes that find the
+ * disk full wait for room; those that fail for another reason reject.
+ */
 export class LogStore<Payload> {
     private segment: DiskFile | undefined;
     private segmentNumber = 0;
-
-    private constructor(private readonly disk: Disk) {}
+    /** Bytes of whole blocks in the open segment. */
+    private segmentBytes = 0;
+    private readonly disk: Disk;
+    private readonly room: RoomWaiter;
+
+    private constructor(options: LogStoreOptions) {
+        this.disk = options.disk;
+        this.room = new RoomWaiter(options);
+    }
 
     /** Opens a data folder and recovers its state. Throws {@link StorageError} on corruption other than a torn tail. */
     static async open<Payload>(
         options: LogStoreOptions,
     ): Promise<{ store: LogStore<Payload>; recovered: RecoveredState<Payload> }> {
-        const store = new LogStore<Payload>(options.disk);
+        const store = new LogStore<Payload>(options);
         const recovered = await store.recover();
         return { store, recovered };
     }
 
+    /** Whether a write waits for room on the disk. */
+    isDiskFull(): boolean {
+        return this.room.isFull();
+    }
+
     /** Appends the hard state and entries as one block and syncs once. An entry replaces the log from its index on. */
     async append(hardState: HardState | undefined, entries: LogEntry<Payload>[]): Promise<void> {
         const records: LogRecord<Payload>[] = [];
@@ -61,7 +77,8 @@
     /** Writes a snapshot file and syncs it. Entries may be appended at the same time. */
     async writeSnapshot(snapshot: Snapshot): Promise<void> {
         try {
-            await this.disk.replace(formatName("snapshot", snapshot.index), encodeBlock([snapshot]));
+            const block = encodeBlock([snapshot]);
+            await this.room.run(() => this.disk.replace(formatName("snapshot", snapshot.index), block));
         }
         catch (error) {
             throw new StorageError(`snapshot not stored: ${describeError(error)}`, error);
@@ -73,7 +90,7 @@
         try {
             const previous = this.segment;
             this.segmentNumber++;
-            this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
+            await this.openSegment();
             const entries = remaining.map(entry => ({ kind: "entry" as const, entry }));
             await this.writeBlock([{ kind: "hardState", hardState, isFirst: true }, ...entries]);
             await previous?.close();
@@ -86,18 +103,33 @@
         }
     }
 
-    /** Closes the open segment. */
+    /** Closes the open segment. Writes that wait for room reject. */
     async close(): Promise<void> {
+        this.room.close();
         await this.segment?.close();
     }
 
+    private async openSegment(): Promise<void> {
+        await this.room.run(async () => {
+            this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
+        });
+        this.segmentBytes = 0;
+    }
+
     private async writeBlock(records: LogRecord<Payload>[]): Promise<void> {
-        if (this.segment === undefined) {
+        const { segment } = this;
+        if (segment === undefined) {
             throw new StorageError("the log is not open");
         }
         try {
-            await this.segment.append(encodeBlock(records));
-            await this.segment.sync();
+            const block = encodeBlock(records);
+            const write = async () => {
+                await segment.append(block);
+                await segment.sync();
+            };
+            const name = formatName("log", this.segmentNumber);
+            await this.room.run(write, () => this.disk.truncate(name, this.segmentBytes));
+            this.segmentBytes += block.length;
         }
         catch (error) {
             throw new StorageError(
@@ -118,19 +150,22 @@
             cutBytes: 0,
         };
         const segments = names.filter(name => SEGMENT_PATTERN.test(name));
+        let lastSegmentBytes = 0;
         for (const name of segments) {
-            await this.recoverSegment(name, name === segments.at(-1), state);
+            lastSegmentBytes = await this.recoverSegment(name, name === segments.at(-1), state);
         }
         state.entries = state.entries.filter(entry => entry.index > (snapshot?.index ?? 0));
         checkContinuity(state);
         this.segmentNumber = segments.length === 0 ? 1 : Number(SEGMENT_PATTERN.exec(segments.at(-1) ?? "")?.[1]);
-        this.segment = await this.disk.openForAppend(formatName("log", this.segmentNumber));
+        await this.openSegment();
+        this.segmentBytes = lastSegmentBytes;
         // A former process may have ended between a write and its sync; what is recovered counts as durable from here on.
-        await this.segment.sync();
+        await this.room.run(async () => this.segment?.sync());
         return state;
     }
 
-    private async recoverSegment(name: string, isLast: boolean, state: RecoveredState<Payload>): Promise<void> {
+    /** Returns the bytes of the whole blocks. */
+    private async recoverSegment(name: string, isLast: boolean, state: RecoveredState<Payload>): Promise<number> {
         const file = Buffer.from(await this.disk.read(name));
         const decoded = decodeBlocks(name, file);
         if (decoded.validBytes < file.length) {
@@ -138,11 +173,12 @@
                 throw new StorageError(`${name}: damaged at offset ${decoded.validBytes}, and a later segment exists`);
             }
             state.cutBytes = file.length - decoded.validBytes;
-            await this.disk.truncate(name, decoded.validBytes);
+            await this.room.run(() => this.disk.truncate(name, decoded.validBytes));
         }
         for (const record of decoded.records as LogRecord<Payload>[]) {
             applyRecord(state, record);
         }
+        return decoded.validBytes;
     }
 
     private async readNewestSnapshot(names: string[]): Promise<Snapshot | undefined> {
--- a/packages/storage/src/nodeDisk.ts
+++ b/packages/storage/src/nodeDisk.ts
@@ -20,23 +20,31 @@
 
     override async openForAppend(name: string): Promise<DiskFile> {
         const handle = await open(join(this.folder, name), "a");
-        await this.syncFolder();
+        try {
+            await this.syncFolder();
+        }
+        catch (error) {
+            await handle.close();
+            throw error;
+        }
         return new NodeDiskFile(handle);
     }
 
     override async truncate(name: string, bytes: number): Promise<void> {
         await truncate(join(this.folder, name), bytes);
-        const handle = await open(join(this.folder, name), "r+");
-        await handle.sync();
-        await handle.close();
+        await writeAndClose(await open(join(this.folder, name), "r+"), () => Promise.resolve());
     }
 
     override async replace(name: string, data: Uint8Array): Promise<void> {
         const temporary = join(this.folder, `${name}.tmp`);
-        const handle = await open(temporary, "w");
-        await handle.writeFile(data);
-        await handle.sync();
-        await handle.close();
+        try {
+            await writeAndClose(await open(temporary, "w"), handle => handle.writeFile(data));
+        }
+        catch (error) {
+            // What was written takes room that the log may need.
+            await unlink(temporary).catch(() => undefined);
+            throw error;
+        }
         await rename(temporary, join(this.folder, name));
         await this.syncFolder();
     }
@@ -52,6 +60,16 @@
     }
 }
 
+async function writeAndClose(handle: FileHandle, write: (handle: FileHandle) => Promise<void>): Promise<void> {
+    try {
+        await write(handle);
+        await handle.sync();
+    }
+    finally {
+        await handle.close();
+    }
+}
+
 class NodeDiskFile implements DiskFile {
     constructor(private readonly handle: FileHandle) {}
 
--- a/packages/storage/src/powerLossDisk.ts
+++ b/packages/storage/src/powerLossDisk.ts
@@ -26,6 +26,12 @@
     getDelayMs?: () => number;
 }
 
+/** What writes of a failing disk report: a text, and the system's code. */
+export interface DiskFailure {
+    message: string;
+    code: string;
+}
+
 /** Bytes that one system call writes of a larger buffer. */
 const WRITE_BYTES = 512 * 1024;
 /** Part of the power losses after which everything that was not synced is gone. */
@@ -41,8 +47,8 @@
     private durableNames = new Map<string, FileContent>();
     private pendingNames: PendingName[] = [];
     private process = 0;
-    /** When set, every write and sync rejects with this text; half of a rejected write may remain. */
-    failure: string | undefined;
+    /** When set, every write and sync rejects with this error; half of a rejected write may remain. */
+    failure: DiskFailure | undefined;
 
     constructor(private readonly options: PowerLossDiskOptions) {}
 
@@ -179,7 +185,8 @@
     private checkFailure(onFailure?: () => void): void {
         if (this.failure !== undefined) {
             onFailure?.();
-            throw new Error(this.failure);
+            const { message, code } = this.failure;
+            throw Object.assign(new Error(message), { code });
         }
     }
 }
