Refuse a request whose body arrives too late in a stop, instead of passing it on

Here a request is taken late only if its timeout fits, and each gets a final answer; but that was asked when the head arrived. With a body in chunks the rest may come seconds later, and the request was passed on moments before the end of the process: 502 for a request that may have run, where 503 (not run) was still possible and could be retried elsewhere.

Now it is asked again when the body is whole: whether requests of the route are usually served in the time left, by their mean duration and four mean deviations, or the route's objective before the first.

--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -124,7 +124,7 @@
             attempt.handle.abort();
             this.release(attempt);
         }
-        this.options.onEnd();
+        this.options.onEnd(false);
     }
 
     private finishForStop(): void {
@@ -633,6 +633,6 @@
             noRetry: isServed ? undefined : this.retries.getNoRetry(),
             silentMs: isServed || this.lastDataAt === undefined ? undefined : performance.now() - this.lastDataAt,
         });
-        this.options.onEnd();
+        this.options.onEnd(isServed);
     }
 }
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -53,5 +53,5 @@
     unreadEventBytes: ByteBudget;
     unreadAnswers: UnreadAnswers;
     invalidResponses: InvalidResponses;
-    onEnd: () => void;
+    onEnd: (isServed: boolean) => void;
 }
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type CallerConnections, CloseReason } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
+import { DurationEstimator } from "./durationEstimator.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
 import { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
@@ -34,6 +35,8 @@
     isStopping: () => boolean;
     /** Whether a request that may take this long, in milliseconds, can finish before the process stops. */
     canAccept: (maxDurationMs: number) => boolean;
+    /** Whether a request that is whole now and takes this long, in milliseconds, ends before the process stops. */
+    canComplete: (durationMs: number) => boolean;
     onFirstRequest: () => void;
     quarantine: QuarantineList;
     crashReporter: CrashReporter;
@@ -66,6 +69,7 @@
     private readonly unreadEventBytes = new ByteBudget(MAX_UNREAD_EVENT_BYTES);
     private readonly unreadAnswers: UnreadAnswers;
     private readonly ages = new RequestAgeEstimator();
+    private readonly durations = new DurationEstimator();
     private readonly invalidResponses: InvalidResponses;
     private isTrafficSeen = false;
 
@@ -211,6 +215,14 @@
             }
             const { body, release } = outcome;
             scope.setCleanUp(release);
+            // A body may arrive long after its head: nothing is passed on that the end of the process would cut off.
+            const passedOnAt = performance.now();
+            const usualMs = this.durations.estimateMs(route.name) ?? route.objectiveMs;
+            if (!this.options.canComplete(Math.min(usualMs, timeoutMs - (passedOnAt - arrivedAt)))) {
+                release();
+                refuseRequest(RefusalCause.Stopping, route.name);
+                return;
+            }
             const service = chooseTarget(route, Math.random());
             const forwarded = new ForwardedRequest({
                 request,
@@ -240,7 +252,10 @@
                 unreadEventBytes: this.unreadEventBytes,
                 unreadAnswers: this.unreadAnswers,
                 invalidResponses: this.invalidResponses,
-                onEnd: () => {
+                onEnd: isServed => {
+                    if (isServed) {
+                        this.durations.record(route.name, performance.now() - passedOnAt);
+                    }
                     release();
                     this.active.delete(forwarded);
                     metrics.active.set(this.active.size);
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -149,6 +149,9 @@
             canAccept: maxDurationMs =>
                 this.stop === undefined
                 || canAcceptWhileStopping(this.stopPlan, this.stop.getElapsedMs(), maxDurationMs),
+            canComplete: durationMs =>
+                this.stop === undefined
+                || canAcceptWhileStopping(this.stopPlan, this.stop.getElapsedMs(), durationMs),
             onFirstRequest: () => this.announceTraffic(),
             quarantine: this.quarantine,
             crashReporter: this.crashReporter,
--- a/packages/gateway/src/gatewayStop.feature
+++ b/packages/gateway/src/gatewayStop.feature
@@ -29,6 +29,24 @@
         And the endpoint answers it with 10 bytes
         Then the caller has an answer with status 200 and 10 bytes
 
+    # Guards against requests that are passed on so late in the stop that its end cuts them off, although they could still be
+    # refused as not run.
+    Scenario Outline: A request whose body arrives late in the stop is passed on only if it can usually be served in time
+        Given a gateway that serves <kind> and stops within 8000 ms
+        And <count> requests were served, which took 1000 ms each
+        And a caller that has sent half of a request
+        When the stop begins, and <since> ms pass
+        And the caller sends the other half
+        Then the endpoint has <sends> request more
+        And the caller has an answer with status <status> <whether>
+
+        Examples:
+            | kind                    | count | since | sends | status | whether                 |
+            | non-repeatable requests | 20    | 5000  | 1     | 200    | once the endpoint sends |
+            | non-repeatable requests | 20    | 5800  | 0     | 503    | at once                 |
+            | repeatable requests     | 20    | 5800  | 0     | 503    | at once                 |
+            | non-repeatable requests | 0     | 5800  | 1     | 200    | once the endpoint sends |
+
     # Guards against connections that close without an answer when the time for the stop is over.
     Scenario Outline: A request that can't be completed in time gets a final answer that is true
         Given a gateway that serves <kind> and stops within 8000 ms
--- a/packages/gateway/src/gatewayStop.steps.ts
+++ b/packages/gateway/src/gatewayStop.steps.ts
@@ -120,3 +120,28 @@
 });
 
 Then("the caller's connection is announced to close", () => match(caller.received, /\r\nconnection: close\r\n/i));
+
+let sendsBefore = 0;
+
+Given("{int} requests were served, which took {int} ms each", async (count: number, durationMs: number) => {
+    for (let at = 0; at < count; at++) {
+        await sendPart("all");
+        await harness.advance(durationMs);
+        await answer(1);
+    }
+    sendsBefore = harness.endpoints[0].attempts.length;
+});
+
+Then("the endpoint has {int} request more", (count: number) => {
+    strictEqual(harness.endpoints[0].attempts.length - sendsBefore, count);
+});
+
+Then(
+    /^the caller has an answer with status (\d+) (at once|once the endpoint sends)$/,
+    async (status: number, when: string) => {
+        if (when !== "at once") {
+            await answer(1);
+        }
+        strictEqual(readStatus(), String(status));
+    },
+);
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -11,7 +11,7 @@
 import { registerGatewayMetrics } from "../metrics.js";
 import { QuarantineList } from "../quarantineList.js";
 import { RouteTable } from "../routeTable.js";
-import { planStop } from "../stopPlan.js";
+import { canAcceptWhileStopping, planStop, type StopPlan } from "../stopPlan.js";
 import { CallerSocket } from "./callerSocket.js";
 import { PlainHeaderCodec } from "./plainHeaderCodec.js";
 import { ScriptedEndpoint } from "./scriptedEndpoint.js";
@@ -47,6 +47,7 @@
     readonly forwarder: Forwarder;
     readonly tracker: EndpointTracker;
     isStopping = false;
+    private stopPlan: { plan: StopPlan; startedAt: number } | undefined;
     private readonly registry = new Registry();
     private readonly server: Server;
     private readonly callers: CallerSocket[] = [];
@@ -94,6 +95,7 @@
             isConfigurationBehind: () => false,
             isStopping: () => this.isStopping,
             canAccept: () => true,
+            canComplete: durationMs => this.canComplete(durationMs),
             onFirstRequest: () => undefined,
             quarantine: new QuarantineList(logger),
             crashReporter: new CrashReporter({ id: "g", sendAll: () => undefined }),
@@ -108,11 +110,19 @@
     async stop(stopWithinMs: number): Promise<void> {
         this.isStopping = true;
         const { connections, forwarder } = this;
-        await new GatewayStop({ plan: planStop(stopWithinMs), connections, forwarder }).complete();
+        const plan = planStop(stopWithinMs);
+        this.stopPlan = { plan, startedAt: performance.now() };
+        await new GatewayStop({ plan, connections, forwarder }).complete();
         this.connections.closeAll(CloseReason.StopEnded);
         this.server.close();
     }
 
+    private canComplete(durationMs: number): boolean {
+        const { stopPlan } = this;
+        return stopPlan === undefined
+            || canAcceptWhileStopping(stopPlan.plan, performance.now() - stopPlan.startedAt, durationMs);
+    }
+
     /** Reports that a connection has reached the idle limit, as Node does. */
     async reportIdle(caller: CallerSocket): Promise<void> {
         this.server.emit("timeout", caller);
