--- a/packages/gateway/src/endpointPool.feature
+++ b/packages/gateway/src/endpointPool.feature
@@ -31,3 +31,21 @@
             | bytes      |
             | a response |
             | garbage    |
+
+    # Guards against an endpoint that stops in the middle of a response's head, whose caller gets an empty or short body that
+    # is framed as whole.
+    Scenario Outline: A response that ends at any byte before its end, <what>, by a <end>, is not complete
+        Then no response <what> that an endpoint ends by a <end> before its last byte completes its attempt
+        And the whole response <what> is taken as <whole>
+
+        Examples:
+            | what                                    | end   | whole    |
+            | with a length                           | close | complete |
+            | with a length                           | reset | complete |
+            | with a length                           | break | complete |
+            | in chunks                               | close | complete |
+            | in chunks                               | reset | complete |
+            | that announces a close                  | close | complete |
+            | of HTTP/1.0                             | close | complete |
+            | after early hints                       | close | complete |
+            | after early hints that announce a close | close | failed   |
--- a/packages/gateway/src/endpointPool.steps.ts
+++ b/packages/gateway/src/endpointPool.steps.ts
@@ -1,5 +1,5 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { strictEqual } from "node:assert";
+import { deepStrictEqual, strictEqual } from "node:assert";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { EndpointPool } from "./endpointPool.js";
@@ -96,3 +96,61 @@
 });
 
 Then("the attempt ends as {word}", (expected: string) => strictEqual(outcome, expected));
+
+const STAMP = "request-id: r\r\nserver-stamp: s\r\n";
+const BODY = "content-length: 4\r\n\r\nabcd";
+const RESPONSES: Record<string, string> = {
+    "with a length": `HTTP/1.1 200 OK\r\n${STAMP}${BODY}`,
+    "in chunks": `HTTP/1.1 200 OK\r\n${STAMP}transfer-encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n`,
+    "after early hints": `HTTP/1.1 103 Early Hints\r\n${STAMP}\r\nHTTP/1.1 200 OK\r\n${STAMP}${BODY}`,
+    "after early hints that announce a close":
+        `HTTP/1.1 103 Early Hints\r\nconnection: close\r\n${STAMP}\r\nHTTP/1.1 200 OK\r\n${STAMP}${BODY}`,
+    "that announces a close": `HTTP/1.1 200 OK\r\nconnection: close\r\n${STAMP}${BODY}`,
+    "of HTTP/1.0": `HTTP/1.0 200 OK\r\n${STAMP}${BODY}`,
+};
+
+/** Sends the first `bytes` bytes of a response and ends the connection; resolves with how the attempt ends. */
+async function sendCut(response: string, bytes: number, end: string): Promise<string> {
+    const cutServer = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => {
+            socket.write(response.slice(0, bytes));
+            if (end === "break") {
+                socket.resetAndDestroy();
+                return;
+            }
+            setTimeout(() => end === "reset" ? socket.resetAndDestroy() : socket.end(), READ_MS);
+        });
+    }).listen(0, "127.0.0.1");
+    await once(cutServer, "listening");
+    const cutPool = new EndpointPool(`127.0.0.1:${(cutServer.address() as AddressInfo).port}`, 1);
+    try {
+        return await new Promise<string>(resolve => {
+            cutPool.send({ method: "GET", path: "/", headers: {}, body: Buffer.alloc(0), isRepeatable: true }, {
+                onHead: () => undefined,
+                onData: () => undefined,
+                onEnd: () => resolve("complete"),
+                onFailure: () => resolve("failed"),
+            });
+        });
+    }
+    finally {
+        cutPool.destroy(new Error("done"));
+        cutServer.close();
+    }
+}
+
+Then(
+    /^no response (.+) that an endpoint ends by a (\w+) before its last byte completes its attempt$/,
+    { timeout: 60_000 },
+    async (what: string, end: string) => {
+        const response = RESPONSES[what];
+        const cuts = Array.from({ length: response.length }, (_, at) => at);
+        const outcomes = await Promise.all(cuts.map(bytes => sendCut(response, bytes, end)));
+        deepStrictEqual(cuts.filter(at => outcomes[at] !== "failed").map(at => response.slice(0, at)), []);
+    },
+);
+
+Then(/^the whole response (.+) is taken as (complete|failed)$/, async (what: string, expected: string) => {
+    strictEqual(await sendCut(RESPONSES[what], RESPONSES[what].length, "close"), expected);
+});
