Let answers wait at their endpoints while callers have not read those before them

Cause: further requests were refused from 64 MiB of unread answers on, but nothing bounded the answers to requests accepted before; above 96 MiB the oldest was cut. One place accepted what another had no room for.

Reading from endpoints now stops while incomplete and unread answers together hold 64 MiB, and goes on as callers read. The oldest is read on up to 80 MiB, so that answers held in part don't wait for each other. A request that waits so is not taken for one at a silent endpoint. Answers that nobody reads for 15 s are cut as before.

--- a/packages/gateway/src/endpointPool.ts
+++ b/packages/gateway/src/endpointPool.ts
@@ -25,6 +25,9 @@
     abort(): void;
     /** Whether a byte of the request may have been written to the endpoint. */
     isWritten(): boolean;
+    /** Reads no more of the response until `startReading`. */
+    stopReading(): void;
+    startReading(): void;
 }
 
 /** Timeout for opening a connection, in milliseconds: many round trips inside a region. */
@@ -136,6 +139,16 @@
         return this.controller !== undefined;
     }
 
+    stopReading(): void {
+        this.controller?.pause();
+    }
+
+    startReading(): void {
+        if (!this.isFinished && !this.isAborted) {
+            this.controller?.resume();
+        }
+    }
+
     onRequestStart(controller: Dispatcher.DispatchController): void {
         this.controller = controller;
         if (this.isAborted) {
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -249,7 +249,12 @@
             status: 0,
             headers: {},
             answer: new HeldAnswer(this.options.answerBytes),
-            handle: { abort: () => undefined, isWritten: () => false },
+            handle: {
+                abort: () => undefined,
+                isWritten: () => false,
+                stopReading: () => undefined,
+                startReading: () => undefined,
+            },
             lastDataAt: performance.now(),
             loss: undefined,
         };
@@ -275,7 +280,10 @@
     }
 
     private handleSilence(): void {
-        if (this.attempt !== undefined) {
+        if (this.attempt !== undefined && this.options.answerFlow.isPaused(this.attempt.handle)) {
+            this.stallTimer.start(REPLACEMENT_CHECK_MS);
+        }
+        else if (this.attempt !== undefined) {
             this.handleStall(this.attempt, IncompleteCause.EndpointSilent);
         }
     }
@@ -351,7 +359,9 @@
             if (!attempt.answer.add(chunk)) {
                 this.recordInvalidResponse(attempt, InvalidResponseReason.TooLarge);
                 this.abandon(attempt, "the response has more bytes than may be held");
+                return;
             }
+            this.options.answerFlow.recordBytes(attempt.handle);
             return;
         }
         let isBehind = false;
@@ -564,6 +574,7 @@
         this.attempt = undefined;
         this.lastDataAt = attempt.lastDataAt;
         attempt.answer.close();
+        this.options.answerFlow.remove(attempt.handle);
         attempt.parser.close();
         this.stallTimer.stop();
         if (attempt.endpoint.inFlight.delete(attempt.sent)) {
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@kumquathall/logger";
 import type { TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AnswerFlow } from "./answerFlow.js";
 import type { CallerConnections } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
@@ -47,6 +48,8 @@
     crashReporter: CrashReporter;
     /** Memory of the incomplete responses and events of all requests. */
     answerBytes: ByteBudget;
+    /** Lets answers wait at their endpoints while their memory is used up. */
+    answerFlow: AnswerFlow;
     /** Runs whatever is called for this request. */
     scope: RequestScope;
     /** Memory of the events that all callers have not read. */
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@kumquathall/logger";
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { AnswerFlow } from "./answerFlow.js";
 import { type CallerConnections, CloseReason } from "./callerConnections.js";
 import type { CrashReporter } from "./crashReporter.js";
 import { DurationEstimator } from "./durationEstimator.js";
@@ -54,7 +55,7 @@
 const CLOSE_AFTER_MS = 500;
 /** Memory for all requests, in bytes: their bodies, their incomplete responses, and the events that callers have not read. */
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const MAX_ANSWER_BYTES = 96 * 1024 * 1024;
 const MAX_UNREAD_EVENT_BYTES = 64 * 1024 * 1024;
 
 /** Accepts callers' requests: finds the route and the account, reads the body and starts forwarding. */
@@ -68,6 +69,7 @@
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
     private readonly unreadEventBytes = new ByteBudget(MAX_UNREAD_EVENT_BYTES);
     private readonly unreadAnswers: UnreadAnswers;
+    private readonly answerFlow: AnswerFlow;
     private readonly ages = new RequestAgeEstimator();
     private readonly durations = new DurationEstimator();
     private readonly invalidResponses: InvalidResponses;
@@ -75,7 +77,11 @@
 
     constructor(private readonly options: ForwarderOptions) {
         this.invalidResponses = new InvalidResponses(options.logger, options.metrics.invalidResponses);
+        this.answerFlow = new AnswerFlow({
+            countHeldBytes: () => this.answerBytes.getHeld() + this.unreadAnswers.getHeld(),
+        });
         this.unreadAnswers = new UnreadAnswers({
+            onRoom: () => this.answerFlow.scheduleUpdate(),
             onClose: () => {
                 options.metrics.unreadAnswersCut.inc();
                 options.logger.warn("unread-answer-cut");
@@ -248,6 +254,7 @@
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
                 answerBytes: this.answerBytes,
+                answerFlow: this.answerFlow,
                 scope,
                 unreadEventBytes: this.unreadEventBytes,
                 unreadAnswers: this.unreadAnswers,
--- a/packages/gateway/src/testing/scriptedEndpoint.ts
+++ b/packages/gateway/src/testing/scriptedEndpoint.ts
@@ -7,6 +7,8 @@
     request: AttemptRequest;
     handler: AttemptHandler;
     isAborted: boolean;
+    /** Whether the gateway reads nothing now. */
+    isPaused: boolean;
     /** Whether its response has ended. */
     hasEnded: boolean;
     /** Id of the next event of its stream. */
@@ -48,6 +50,7 @@
             request,
             handler,
             isAborted: false,
+            isPaused: false,
             hasEnded: false,
             nextEventId: Number(request.headers["resume-after"] ?? 0) + 1,
         };
@@ -57,6 +60,12 @@
                 attempt.isAborted = true;
             },
             isWritten: () => true,
+            stopReading: () => {
+                attempt.isPaused = true;
+            },
+            startReading: () => {
+                attempt.isPaused = false;
+            },
         };
     }
 }
--- a/packages/gateway/src/unreadAnswers.ts
+++ b/packages/gateway/src/unreadAnswers.ts
@@ -10,6 +10,8 @@
 export interface UnreadAnswersOptions {
     /** Called when an answer is given up. */
     onClose: () => void;
+    /** Called when an answer has been read or given up. */
+    onRoom?: () => void;
     /** From how many bytes no further request is accepted. */
     fullBytes?: number;
     /** How many bytes may be held at most. */
@@ -70,7 +72,12 @@
     }
 
     private remove(response: ServerResponse): void {
-        this.held -= this.answers.get(response)?.bytes ?? 0;
+        const answer = this.answers.get(response);
+        if (answer === undefined) {
+            return;
+        }
+        this.held -= answer.bytes;
         this.answers.delete(response);
+        this.options.onRoom?.();
     }
 }
