Read peers that send in small chunks in turns, so that they don't occupy the process

A chunk of one byte costs the parser and the stream about as much as one of a thousand, so a few MB/s of them fill a core.

A pacer counts small chunks, by how far they are below 64 bytes, over all bodies of a process, and over all responses; above 30,000 a second, about a tenth of a core, their senders are read in turns. The first 1,000 of a stream don't count. Bodies that are refused or discarded count too.

--- a/packages/bench/src/renderPeerBounds.ts
+++ b/packages/bench/src/renderPeerBounds.ts
@@ -6,6 +6,7 @@
     "| bodies of calls to control, for 10 s at most | 128 MiB; heartbeats 32 MiB of their own | control | the connection is closed |",
     "| ids of endpoints | 24,000 | control, each gateway | a heartbeat of a new id is answered 503 |",
     "| log entries that wait for the disk | 64 MiB | control | the process ends |",
+    "| small chunks of bodies and of responses | 30,000 a second each | control, gateway | their peers are read in turns |",
     "| head of an endpoint's response | 16 KiB | response | the attempt has failed |",
     "| response without events | 16 MiB | response | the attempt has failed |",
     "| incomplete event of a stream | 1 MiB | stream | the attempt has failed |",
--- a/packages/gateway/src/endpointPool.ts
+++ b/packages/gateway/src/endpointPool.ts
@@ -1,3 +1,4 @@
+import { ChunkPacer, type PacedChunks } from "@kumquathall/byte-collector";
 import type { HeaderField } from "@kumquathall/types";
 import { type Dispatcher, Pool } from "undici";
 import { createResetDetectingConnector, isTruncatedByReset } from "./resetDetectingConnector.js";
@@ -67,7 +68,8 @@
     /** For requests that must not be repeated: a request on an idle connection that the endpoint dropped is reset. */
     private readonly nonRepeatablePool: Pool;
 
-    constructor(address: string, maxConnections: number) {
+    /** `pacer` is shared by the responses of all endpoints. */
+    constructor(address: string, maxConnections: number, private readonly pacer = new ChunkPacer()) {
         this.pool = createPool(address, maxConnections, IDLE_MS);
         this.nonRepeatablePool = createPool(address, maxConnections, NON_REPEATABLE_IDLE_MS);
         for (const pool of [this.pool, this.nonRepeatablePool]) {
@@ -77,7 +79,7 @@
 
     /** Sends a request and reports its progress to the handler. */
     send(request: AttemptRequest, handler: AttemptHandler): Attempt {
-        const attempt = new PooledAttempt(handler, this.reported);
+        const attempt = new PooledAttempt(handler, this.reported, this.pacer);
         const pool = request.isRepeatable ? this.pool : this.nonRepeatablePool;
         pool.dispatch({
             method: request.method,
@@ -125,11 +127,21 @@
     private controller: Dispatcher.DispatchController | undefined;
     private isAborted = false;
     private isFinished = false;
-
-    constructor(private readonly handler: AttemptHandler, private readonly reported: WeakSet<Error>) {}
+    /** Number of reasons not to read. */
+    private stops = 0;
+    private readonly chunks: PacedChunks;
+
+    constructor(
+        private readonly handler: AttemptHandler,
+        private readonly reported: WeakSet<Error>,
+        pacer: ChunkPacer,
+    ) {
+        this.chunks = pacer.open(this);
+    }
 
     abort(): void {
         this.isAborted = true;
+        this.chunks.close();
         if (!this.isFinished) {
             this.controller?.abort(new Error("attempt aborted"));
         }
@@ -140,11 +152,13 @@
     }
 
     stopReading(): void {
+        this.stops++;
         this.controller?.pause();
     }
 
     startReading(): void {
-        if (!this.isFinished && !this.isAborted) {
+        this.stops--;
+        if (this.stops === 0 && !this.isFinished && !this.isAborted) {
             this.controller?.resume();
         }
     }
@@ -167,6 +181,7 @@
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.chunks.record(chunk.length);
         if (!this.isAborted) {
             this.handler.onData(chunk);
         }
@@ -174,6 +189,7 @@
 
     onResponseEnd(): void {
         this.isFinished = true;
+        this.chunks.close();
         if (this.isAborted) {
             return;
         }
@@ -186,6 +202,7 @@
 
     onResponseError(_controller: Dispatcher.DispatchController, error: Error & { code?: string }): void {
         this.isFinished = true;
+        this.chunks.close();
         this.reported.add(error);
         if (!this.isAborted) {
             this.handler.onFailure(error, this.controller !== undefined && !UNSENT_CODES.has(error.code ?? ""));
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -1,3 +1,4 @@
+import { ChunkPacer } from "@kumquathall/byte-collector";
 import { EndpointRegistry, type EndpointView, FactEffect, findFactFault } from "@kumquathall/endpoint-registry";
 import { formatGroupKey, listEngineGroups } from "@kumquathall/engine-groups";
 import type { GroupLoad } from "@kumquathall/engine-model";
@@ -133,6 +134,8 @@
 
     private readonly faults: InputFaultLog;
     private readonly flow = new FactFlow();
+    /** Paces the responses of all endpoints. */
+    private readonly pacer = new ChunkPacer();
 
     constructor(private readonly options: EndpointTrackerOptions) {
         this.faults = options.faults ?? new InputFaultLog(options);
@@ -468,6 +471,7 @@
             pool: new EndpointPool(
                 view.address,
                 Math.max(MIN_CONNECTIONS, Math.floor(maxConnections * CONNECTION_FRACTION)),
+                this.pacer,
             ),
             health: new EndpointHealth(),
             pause: new EndpointPause(),
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,3 +1,4 @@
+import { ChunkPacer, paceRequest } from "@kumquathall/byte-collector";
 import { ControlDirectory } from "@kumquathall/control-directory";
 import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
 import { describeError } from "@kumquathall/errors";
@@ -79,6 +80,8 @@
     private readonly connections: CallerConnections;
     private readonly readyServer: Server;
     private readonly staleTimer: NodeJS.Timeout;
+    /** Paces the bodies of all callers. */
+    private readonly pacer = new ChunkPacer();
     /** The stop under way. */
     private stop: GatewayStop | undefined;
     private readonly stopPlan: StopPlan;
@@ -228,6 +231,7 @@
         // Node ends the process on an error event without a listener. The response's close event handles disconnects.
         request.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
         response.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
+        paceRequest(request, this.pacer);
         if (this.connections.addRequest(request, response)) {
             this.forwarder.forward(request, response);
         }
