--- a/packages/byte-collector/src/paceRequest.ts
+++ b/packages/byte-collector/src/attachPacer.ts
@@ -2,7 +2,7 @@
 import type { ChunkPacer } from "./chunkPacer.js";
 
 /** Counts the chunks of a request's body from the moment at which it is read, also while it is discarded. */
-export function paceRequest(request: IncomingMessage, pacer: ChunkPacer): void {
+export function attachPacer(request: IncomingMessage, pacer: ChunkPacer): void {
     const { socket } = request;
     let isStopped = false;
     const stopReading = () => {
--- a/packages/byte-collector/src/chunkPacer.steps.ts
+++ b/packages/byte-collector/src/chunkPacer.steps.ts
@@ -3,8 +3,8 @@
 import { ok, strictEqual } from "node:assert";
 import { createServer } from "node:http";
 import { Duplex } from "node:stream";
+import { attachPacer } from "./attachPacer.js";
 import { ChunkPacer, type PacedChunks } from "./chunkPacer.js";
-import { paceRequest } from "./paceRequest.js";
 
 const MS_PER_SECOND = 1000;
 const STEP_MS = 20;
@@ -140,7 +140,7 @@
     streams = [];
     reads = 0;
     const server = createServer({ requestTimeout: 0 }, request => {
-        paceRequest(request, pacer);
+        attachPacer(request, pacer);
         if (use === "discarded") {
             request.resume();
         }
--- a/packages/byte-collector/src/chunkPacer.ts
+++ b/packages/byte-collector/src/chunkPacer.ts
@@ -48,7 +48,7 @@
 
     /** Takes a part of a chunk out of what may come, and stops the stream if nothing is left. */
     take(chunks: PacedChunks, part: number): void {
-        this.refill();
+        this.refreshAllowed();
         this.allowed -= part;
         if (this.allowed < 0 && !this.stopped.has(chunks)) {
             this.stopped.add(chunks);
@@ -68,7 +68,7 @@
         }
     }
 
-    private refill(): void {
+    private refreshAllowed(): void {
         const now = performance.now();
         const refilled = (now - this.refilledAt) * this.chunksPerSecond / MS_PER_SECOND;
         this.allowed = Math.min(this.burst, this.allowed + refilled);
@@ -85,7 +85,7 @@
     /** Reads the next stream again; the one after it waits for what that brings. */
     private startNext(): void {
         this.timer = undefined;
-        this.refill();
+        this.refreshAllowed();
         const [next] = this.stopped;
         if (next !== undefined && this.allowed >= 0) {
             this.stopped.delete(next);
--- a/packages/byte-collector/src/index.ts
+++ b/packages/byte-collector/src/index.ts
@@ -1,5 +1,5 @@
+export * from "./attachPacer.js";
 export * from "./byteBudget.js";
 export * from "./byteCollector.js";
 export * from "./chunkPacer.js";
 export * from "./collectWithin.js";
-export * from "./paceRequest.js";
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,4 +1,4 @@
-import { ChunkPacer, paceRequest } from "@kumquathall/byte-collector";
+import { attachPacer, ChunkPacer } from "@kumquathall/byte-collector";
 import { ControlDirectory } from "@kumquathall/control-directory";
 import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
 import { describeError } from "@kumquathall/errors";
@@ -231,7 +231,7 @@
         // Node ends the process on an error event without a listener. The response's close event handles disconnects.
         request.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
         response.on("error", error => this.context.logger.debug("caller-error", { message: error.message }));
-        paceRequest(request, this.pacer);
+        attachPacer(request, this.pacer);
         if (this.connections.addRequest(request, response)) {
             this.forwarder.forward(request, response);
         }
