--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -137,9 +137,9 @@
         }
     }
 
-    /** Whether a fact about an endpoint can be recorded; `false` for an unknown id if ids are too many. */
-    hasRoomForEndpoint(fact: EndpointFact): boolean {
-        return this.endpointTask?.hasRoom(fact) !== false;
+    /** Returns whether a fact about an endpoint may be recorded; `false` for an unknown one if ids are too many. */
+    admitEndpoint(fact: EndpointFact): boolean {
+        return this.endpointTask?.admit(fact) !== false;
     }
 
     /** Replaces the seeds, for example after the settings were reloaded. */
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -102,7 +102,7 @@
      */
     record(fact: EndpointFact, writer = ""): boolean {
         const now = performance.now();
-        const reason = findFactFault(fact) ?? (this.registry.hasRoom(fact, now) ? undefined : TOO_MANY);
+        const reason = findFactFault(fact) ?? (this.registry.admit(fact, now) ? undefined : TOO_MANY);
         if (reason !== undefined) {
             this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
             return false;
@@ -139,9 +139,9 @@
         return fact.kind !== "heartbeat" || this.filter.mustExchange(fact, effect, now);
     }
 
-    /** Whether a fact is about a known endpoint, or ids are not too many. */
-    hasRoom(fact: EndpointFact): boolean {
-        return this.registry.hasRoom(fact, performance.now());
+    /** Returns whether a fact may be recorded; `false` for an unknown endpoint if ids are too many. */
+    admit(fact: EndpointFact): boolean {
+        return this.registry.admit(fact, performance.now());
     }
 
     /** Lets a member that has linked anew receive the next heartbeat of each endpoint. */
--- a/packages/endpoint-registry/src/endpointRegistry.steps.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.steps.ts
@@ -210,7 +210,7 @@
 function recordWithin(facts: EndpointFact[], durationMs: number): void {
     facts.forEach((fact, at) => {
         const now = at * durationMs / facts.length;
-        if (getRegistry().hasRoom(fact, now)) {
+        if (getRegistry().admit(fact, now)) {
             getRegistry().record(fact, now);
         }
         else {
@@ -242,7 +242,7 @@
 
 Then("a new endpoint is recorded at {int} ms", (now: number) => {
     const fact = buildHeartbeat("new", 1, "h:0", 1, false);
-    strictEqual(getRegistry().hasRoom(fact, now), true);
+    strictEqual(getRegistry().admit(fact, now), true);
     getRegistry().record(fact, now);
     strictEqual(getView("new")?.isLost, false);
 });
--- a/packages/endpoint-registry/src/endpointRegistry.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.ts
@@ -110,10 +110,10 @@
     constructor(private readonly options: EndpointRegistryOptions) {}
 
     /**
-     * Whether a fact about an endpoint can be recorded: it is known, or ids are not too many. Forgets ids that have fallen
-     * silent if they are, so that entries of other writers don't keep sound endpoints out.
+     * Returns whether a fact about an endpoint may be recorded: the endpoint is known, or ids are not too many. Forgets ids
+     * that have fallen silent if they are, so that entries of other writers don't keep sound endpoints out.
      */
-    hasRoom(fact: EndpointFact, now: number): boolean {
+    admit(fact: EndpointFact, now: number): boolean {
         if (fact.kind === "observation" || this.heartbeats.has(fact.id)) {
             return true;
         }
@@ -281,12 +281,12 @@
             return FactEffect.None;
         }
         const isLeaving = fact.isLeaving || (former?.fact.bornMs === fact.bornMs && former.fact.isLeaving);
-        const heard = { fact: { ...fact, isLeaving }, at: now };
+        const received = { fact: { ...fact, isLeaving }, at: now };
         if (former === undefined || now <= item.at + TAKE_OVER_MS) {
-            item.former = heard;
+            item.former = received;
             return FactEffect.None;
         }
-        this.heartbeats.set(fact.id, { ...heard, refutedBornMs: item.fact.bornMs });
+        this.heartbeats.set(fact.id, { ...received, refutedBornMs: item.fact.bornMs });
         this.newestIds = undefined;
         return FactEffect.State;
     }
--- a/packages/gateway/src/answerFlow.ts
+++ b/packages/gateway/src/answerFlow.ts
@@ -75,6 +75,7 @@
         }
     }
 
+    /** The first answer in order is the oldest; it alone is read on above `fullBytes`. */
     private apply(): void {
         const { countHeldBytes, fullBytes = FULL_BYTES, oldestBytes = OLDEST_BYTES } = this.options;
         let limit = oldestBytes;
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -147,7 +147,7 @@
         const addresses = new Set<string>();
         this.flow.record(now);
         for (const fact of facts) {
-            const reason = findFactFault(fact) ?? (this.registry.hasRoom(fact, now) ? undefined : TOO_MANY);
+            const reason = findFactFault(fact) ?? (this.registry.admit(fact, now) ? undefined : TOO_MANY);
             if (reason !== undefined) {
                 this.faults.record({ kind: "endpoint-fact", reason, writer }, now);
                 continue;
