--- a/packages/gateway/src/endpointTracker.feature
+++ b/packages/gateway/src/endpointTracker.feature
@@ -44,9 +44,9 @@
         And the newer incarnation is observed at the address of the former
         Then the request has ended as lost
 
-    # Guards against a gateway that keeps every id that it was ever told of, and against one that forgets sound endpoints
+    # Guards against a gateway that keeps every id that was ever reported to it, and against one that forgets sound endpoints
     # because control can't be reached.
-    Scenario Outline: An endpoint without heartbeats is forgotten once control has told of others <how>
+    Scenario Outline: An endpoint without heartbeats is forgotten once control has reported others <how>
         Given a gateway with a sound endpoint that runs <requests> request
         When another endpoint sends heartbeats <how>
         And stale endpoints are removed
