Ask for the list of control members as soon as the first link opens

The leader's first order went out 2.7 s after its election. Ruled out: the election (1.3 s from the first start, 36.8 s), the engines (seen at 35.5 s). Change: a directory that opens its first link refreshes at once.

--- a/packages/control-directory/src/controlDirectory.steps.ts
+++ b/packages/control-directory/src/controlDirectory.steps.ts
@@ -9,6 +9,7 @@
 const WAIT_TIMEOUT_MS = 20_000;
 const HOST = "127.0.0.1";
 const REFRESH_MS = 20;
+const HOUR_MS = 3_600_000;
 
 let listeners: LinkListener[] = [];
 let directory: ControlDirectory | undefined;
@@ -27,13 +28,13 @@
     }
 }
 
-function openDirectory(seeds: string[]): ControlDirectory {
+function openDirectory(seeds: string[], refreshMs = REFRESH_MS): ControlDirectory {
     directory = new ControlDirectory({
         identity: createIdentity("gateway", "gateway-1"),
         seeds,
         handlers: {},
         logger: createLogger({ write: () => undefined }),
-        refreshMs: REFRESH_MS,
+        refreshMs,
     });
     return directory;
 }
@@ -72,6 +73,10 @@
     openDirectory([`${HOST}:${listeners[0].getPort()}`]);
 });
 
+When("a process that refreshes the list once an hour knows only the first of them", () => {
+    openDirectory([`${HOST}:${listeners[0].getPort()}`], HOUR_MS);
+});
+
 Then(
     "it links to all {int}",
     { timeout: WAIT_TIMEOUT_MS * 2 },
--- a/packages/control-directory/src/controlDirectory.ts
+++ b/packages/control-directory/src/controlDirectory.ts
@@ -119,6 +119,11 @@
                     onOpen: link => {
                         logger.info("control-link-opened", { address, peer: link.peer?.id });
                         handlers.onOpen?.(link);
+                        if (this.listLinks().length <= 1) {
+                            // The list may be unknown or old: after a power failure of everything, the leader may be none
+                            // of the seeds, and without a link to it this process takes no part until the next refresh.
+                            void this.refresh();
+                        }
                     },
                     onClose: (link, reason) => {
                         logger.info("control-link-closed", { address, reason });
