Evacuate a data centre through control's HTTP server

Cause: POST and DELETE /-/evacuations/ZONE were answered 404. Gateways read only keys that begin with "traffic", and so did not know of drains.

Change: control members accept the two calls and replicate them as drains of the data centre. A resent order that changes nothing is acknowledged by the leader under its lease without a log entry, unless an earlier order for the same data centre is under way. Such orders carry no change id, so no result is stored. Gateways read the drains of data centres with the configuration, also from members of earlier builds, leave out endpoints there, take back what is not written, and answer 503 data-centres-evacuated if nothing else serves. Log events evacuation-accepted, evacuation-refused and evacuation-applied, metric kumquathall_gateway_evacuated_data_centres; status and drain show evacuations. control-state exports isDataCentreEvacuated for the planner.

--- a/packages/bench/src/configuration.ts
+++ b/packages/bench/src/configuration.ts
@@ -65,7 +65,7 @@
     const table = new RouteTable();
     let traffic = buildSimulatedTraffic(routes);
     stateMachine.apply(buildWholeCommand(traffic), 1, 1);
-    table.apply(readUpdate(distributor.read(0, "traffic")));
+    table.apply(readUpdate(distributor.read({ since: 0, keyPrefix: "traffic" })));
     const samples: StepCosts[] = [];
     for (let version = 2; version < 2 + SAMPLES; version++) {
         const accounts = traffic.accounts.map((account, at) => at === version ? { ...account, keys: [] } : account);
@@ -81,7 +81,9 @@
         });
         const difference = await measureMs(() => publisher.publish(traffic, document));
         const applied = await measureMs(() => stateMachine.apply(proposed[0], version, 1));
-        const update = await measureMs(() => readUpdate(distributor.read(version - 1, "traffic")));
+        const update = await measureMs(() =>
+            readUpdate(distributor.read({ since: version - 1, keyPrefix: "traffic" }))
+        );
         const encoded = await measureMs(() => encodeFrame({ t: "answer", id: 1, m: update.value }));
         const decoded = await measureMs(() => new FrameDecoder().decode(encoded.value));
         const built = await measureMs(() => table.apply(update.value));
--- a/packages/cli/src/commands/drain/index.ts
+++ b/packages/cli/src/commands/drain/index.ts
@@ -25,6 +25,9 @@
         printLine(
             `${kind} of ${args.target} ${args.name} accepted at revision ${result.revision}: ${affected.length} VMs.`,
         );
+        if (args.target === "data-centre") {
+            printLine(`Data centre ${args.name} is ${kind === "drain" ? "evacuated" : "no longer evacuated"}.`);
+        }
         printLine(
             kind === "drain"
                 ? 'A VM can be stopped once "kumquathall endpoints" shows its state as free.'
--- a/packages/cli/src/commands/status/index.ts
+++ b/packages/cli/src/commands/status/index.ts
@@ -25,6 +25,8 @@
             status.members.join(", ")
         }`,
     );
+    const evacuated = status.evacuatedDataCentres ?? [];
+    printLine(`evacuated data centres: ${evacuated.length === 0 ? "none" : evacuated.join(", ")}`);
     printLine(`this entry: revision ${configuration.revision}, lease valid for ${configuration.leaseMs} ms`);
     printLine();
     printTable(
--- a/packages/control-state/src/applyOperations.ts
+++ b/packages/control-state/src/applyOperations.ts
@@ -23,7 +23,7 @@
         index: options.index,
         at: command.at,
         operator: command.operator,
-        changeId: command.changeId,
+        changeId: command.changeId ?? `drain-${options.index}`,
         action: command.kind,
         subject: `${command.target} ${command.name}`,
         accepted: true,
--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -7,6 +7,7 @@
 export { computeInstitutionMetrics, type InstitutionMetrics } from "./institutionMetrics.js";
 export { parseKeyTime } from "./ledger.js";
 export {
+    EVACUATION_KEY_PREFIX,
     formatDrainKey,
     formatGroupKey,
     formatQuarantineKey,
@@ -18,8 +19,10 @@
     getService,
     getTraffic,
     getVm,
+    isDataCentreEvacuated,
     isVmDraining,
     listDrains,
+    listEvacuatedDataCentres,
     listGroups,
     listServices,
     listSuspects,
--- a/packages/control-state/src/lookup.ts
+++ b/packages/control-state/src/lookup.ts
@@ -1,11 +1,12 @@
-import type {
-    ConfigurationValue,
-    DrainRecord,
-    QuarantineSubjectValue,
-    ReplicaGroup,
-    ServiceDefinition,
-    SuspectRecord,
-    VmRecord,
+import {
+    type ConfigurationValue,
+    DrainKind,
+    type DrainRecord,
+    type QuarantineSubjectValue,
+    type ReplicaGroup,
+    type ServiceDefinition,
+    type SuspectRecord,
+    type VmRecord,
 } from "@kumquathall/types";
 import type { VersionedMap } from "@kumquathall/versioned-map";
 
@@ -27,6 +28,21 @@
     return `drain/${kind}/${name}`;
 }
 
+/** Keys of the evacuations of data centres, which are drains, begin with this; gateways read them. */
+export const EVACUATION_KEY_PREFIX = formatDrainKey(DrainKind.DataCentre, "");
+
+/** Whether an operator has ordered the evacuation of a data centre and not withdrawn it. */
+export function isDataCentreEvacuated(configuration: Configuration, dataCentre: string): boolean {
+    return configuration.entries.get(formatDrainKey(DrainKind.DataCentre, dataCentre))?.value !== undefined;
+}
+
+/** Lists the names of the evacuated data centres in ascending order. */
+export function listEvacuatedDataCentres(configuration: Configuration): string[] {
+    return listDrains(configuration).filter(drain => drain.kind === DrainKind.DataCentre)
+        .map(drain => drain.name)
+        .sort();
+}
+
 export function formatSuspectKey(fingerprint: string): string {
     return `suspect/${fingerprint}`;
 }
--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -28,6 +28,7 @@
 import { ControlStateMachine } from "./controlStateMachine.js";
 import { Distributor } from "./distributor.js";
 import { EndpointTask } from "./endpointTask.js";
+import { EvacuationOrders } from "./evacuationOrders.js";
 import { LeaderCaller } from "./leaderCaller.js";
 import { LeaderTask } from "./leaderTask.js";
 import { LimitTask } from "./limitTask.js";
@@ -76,6 +77,7 @@
     private leaderCaller!: LeaderCaller;
     private trafficPublisher!: TrafficPublisher;
     private publishRecorder!: PublishRecorder;
+    private evacuationOrders!: EvacuationOrders;
     private membershipTask: MembershipTask | undefined;
     private endpointTask: EndpointTask | undefined;
     private quarantineTask: QuarantineTask | undefined;
@@ -130,6 +132,14 @@
         return answer.kind === "traffic" ? answer.document : undefined;
     }
 
+    /**
+     * Orders or withdraws the evacuation of a data centre; resolves once that is committed, also if it changes nothing.
+     * Rejects with {@link UnknownDataCentreError}, and with {@link KumquathallError} if no leader confirms it.
+     */
+    setEvacuation(dataCentre: string, isEvacuated: boolean): Promise<void> {
+        return this.evacuationOrders.set(dataCentre, isEvacuated);
+    }
+
     /** Records a fact about an endpoint and, if it is new, sends it to the other members. */
     recordEndpointFact(fact: EndpointFact): void {
         if (this.endpointTask?.record(fact, fact.kind === "observation" ? fact.address : fact.id) === true) {
@@ -216,6 +226,15 @@
             stateMachine: this.stateMachine,
             callLeader: (call, timeoutMs) => this.leaderCaller.call(call, timeoutMs),
         });
+        this.evacuationOrders = new EvacuationOrders({
+            runtime: this.runtime,
+            stateMachine: this.stateMachine,
+            logger: context.logger,
+            callLeader: call => this.leaderCaller.call(call),
+            listDataCentres: () =>
+                settings.dataCentres
+                    ?? [context.settings.dataCentre, ...this.endpointTask?.listDataCentres() ?? []],
+        });
         this.publishRecorder = new PublishRecorder({
             runtime: this.runtime,
             metrics: context.metrics,
@@ -410,7 +429,7 @@
             case "watchRevision":
                 return this.distributor.watch(link);
             case "readConfiguration":
-                return this.distributor.read(call.since, call.keyPrefix ?? "");
+                return this.distributor.read(call);
             case "propose":
                 return this.propose(call.command);
             case "query":
@@ -453,7 +472,7 @@
 
     private async propose(command: Command): Promise<ControlAnswer> {
         try {
-            const result = await this.runtime.propose(command);
+            const result = await this.evacuationOrders.propose(command);
             this.publishRecorder.recordResult(command, result);
             return { kind: "result", result };
         }
--- a/packages/control/src/controlSettings.ts
+++ b/packages/control/src/controlSettings.ts
@@ -17,6 +17,8 @@
     /** All members of the control group, this one included. */
     members?: { id: string; address: string }[];
     founding?: FoundingSettings;
+    /** Data centres that can be evacuated; by default that of this process and those of known endpoints. */
+    dataCentres?: string[];
     /** Interval of planning and presence decisions, in milliseconds. */
     decisionIntervalMs: number;
     /** Applied log entries between snapshots. */
--- a/packages/control/src/distributor.ts
+++ b/packages/control/src/distributor.ts
@@ -1,9 +1,18 @@
 import { getTraffic } from "@kumquathall/control-state";
 import type { Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
-import type { ConfigurationUpdate, ConfigurationValue, ControlAnswer, RevisionCast } from "@kumquathall/types";
+import type {
+    ConfigurationUpdate,
+    ConfigurationValue,
+    ControlAnswer,
+    ControlCall,
+    RevisionCast,
+} from "@kumquathall/types";
 import { computeUpdate, type VersionedMap } from "@kumquathall/versioned-map";
 
+/** What a reader of the configuration asks for. */
+export type ConfigurationRead = Omit<Extract<ControlCall, { kind: "readConfiguration" }>, "kind">;
+
 /** Changes within this time are announced together, in milliseconds. */
 const COALESCE_MS = 20;
 
@@ -36,13 +45,13 @@
         this.watchers.delete(link);
     }
 
-    /** Returns the changes after revision `since`, of the entries whose keys begin with `keyPrefix`. */
-    read(since: number, keyPrefix: string): ControlAnswer {
+    /** Returns the changes after revision `since`, of the entries whose keys begin with one of the prefixes. */
+    read({ since, keyPrefix = "", keyPrefixes = [keyPrefix] }: ConfigurationRead): ControlAnswer {
         const configuration = this.getConfiguration();
-        const readKey = `${since} ${keyPrefix}`;
+        const readKey = JSON.stringify([since, ...keyPrefixes]);
         let update = this.updates.get(readKey);
         if (update?.revision !== configuration.revision) {
-            update = computeUpdate(configuration, since, key => key.startsWith(keyPrefix));
+            update = computeUpdate(configuration, since, key => keyPrefixes.some(prefix => key.startsWith(prefix)));
             this.updates.set(readKey, update);
         }
         return { kind: "update", update };
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -177,6 +177,11 @@
         }
     }
 
+    /** Lists the data centres of the known endpoints. */
+    listDataCentres(): string[] {
+        return [...new Set(this.registry.listViews().map(view => view.dataCentre))];
+    }
+
     countWatchers(): number {
         return this.watchers.size;
     }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,6 +5,7 @@
 export { ControlStateMachine } from "./controlStateMachine.js";
 export { Distributor } from "./distributor.js";
 export { EndpointTask, type EndpointTaskOptions } from "./endpointTask.js";
+export { EvacuationOrders, type EvacuationOrdersOptions, UnknownDataCentreError } from "./evacuationOrders.js";
 export { LeaderCaller, type LeaderCallerOptions } from "./leaderCaller.js";
 export { LimitTask, type LimitTaskOptions } from "./limitTask.js";
 export { type MemberIdentity, readFoundingIdentity } from "./memberIdentity.js";
--- a/packages/control/src/status.ts
+++ b/packages/control/src/status.ts
@@ -1,5 +1,5 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
-import { computeInstitutionMetrics } from "@kumquathall/control-state";
+import { computeInstitutionMetrics, listEvacuatedDataCentres } from "@kumquathall/control-state";
 import type { Command, CommandResult, ControlStatus } from "@kumquathall/types";
 import type { ControlStateMachine } from "./controlStateMachine.js";
 
@@ -35,5 +35,6 @@
         strandedAccelerators: current.reduce((sum, item) => sum + item.strandedAccelerators, 0),
         logEntries: consensus.entries.length,
         ledgerKeys: state.ledger.size,
+        evacuatedDataCentres: listEvacuatedDataCentres(state.configuration),
     };
 }
--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -2,6 +2,7 @@
 import { chooseLeastLoadedEndpoint } from "./chooseLeastLoadedEndpoint.js";
 import { chooseReplicaGroup } from "./chooseReplicaGroup.js";
 import type { EndpointLimits } from "./endpointLimits.js";
+import { EndpointScope } from "./endpointScope.js";
 import type { EndpointTracker, TrackedEndpoint } from "./endpointTracker.js";
 import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import type { RequestHead } from "./httpHeaderCodec.js";
@@ -51,7 +52,11 @@
     /** Endpoint for which the latest choice has called for a permit. */
     private wanted: { key: string; afterCall: number } | undefined;
 
-    constructor(private readonly options: EndpointChooserOptions) {}
+    private readonly scope: EndpointScope;
+
+    constructor(private readonly options: EndpointChooserOptions) {
+        this.scope = new EndpointScope(options);
+    }
 
     /** Chooses an endpoint; skips those in `triedKeys` and those to be avoided after a failure. */
     choose(triedKeys: Set<string>, times: EndpointChoiceTimes): EndpointChoice {
@@ -63,7 +68,7 @@
             endpoint.avoidUntil <= now && !triedKeys.has(endpoint.key) && endpoint.pause.canSend(endpoint.inFlight, now)
         );
         if (usable.length === 0) {
-            const refusal = this.findPauseRefusal(now);
+            const refusal = this.findPauseRefusal(now) ?? this.scope.findRefusal(this.listServing(now), Math.random());
             return buildChoice(refusal === undefined ? {} : { refusal, candidates: listed.length });
         }
         const endpoints = this.classifyByPermit(usable, now);
@@ -90,8 +95,13 @@
         return { ...RefusalCause.EndpointsPaused, retryAfterMs: computeReturnMs(firstMs) };
     }
 
-    /** Lists the endpoints that serve the request's service and model. */
+    /** Lists the endpoints that serve the request's service and model and may get the request. */
     private listEndpoints(now: number): TrackedEndpoint[] {
+        return this.scope.select(this.listServing(now));
+    }
+
+    /** Lists the endpoints that serve the request's service and model. */
+    private listServing(now: number): TrackedEndpoint[] {
         const { table, service, tracker, head } = this.options;
         const { engine } = table.getService(service) ?? { engine: undefined };
         return engine === undefined
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -263,6 +263,11 @@
         }
     }
 
+    /** Takes back the requests of which the endpoints of a data centre have received nothing. */
+    takeBack(dataCentre: string): void {
+        [...this.endpoints.values()].filter(endpoint => endpoint.view.dataCentre === dataCentre).forEach(closeToNew);
+    }
+
     /** Number of endpoints that have asked this gateway to send nothing now. */
     countPaused(now: number): number {
         return [...this.endpoints.values()].filter(endpoint => endpoint.pause.isPaused(now)).length;
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -27,6 +27,7 @@
 import { CrashReporter } from "./crashReporter.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import { EndpointTracker } from "./endpointTracker.js";
+import type { EvacuationChange } from "./evacuations.js";
 import { Forwarder } from "./forwarder.js";
 import { GatewayStop } from "./gatewayStop.js";
 import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
@@ -97,6 +98,7 @@
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
             countPaused: () => this.tracker.countPaused(performance.now()),
+            countEvacuated: () => this.reader.countEvacuated(),
             countHeldBytes: () => this.forwarder.countHeldBytes(),
         });
         this.stopPlan = planStop(settings.stopWithinMs);
@@ -109,6 +111,7 @@
             logger,
             onChange: table => this.applyTable(table),
             onUpdate: update => this.applyQuarantine(update),
+            onEvacuations: changes => this.takeBackEvacuated(changes),
         });
         this.tracker = new EndpointTracker({
             getService: name => this.reader.getTable()?.getService(name),
@@ -267,6 +270,10 @@
         }
     }
 
+    private takeBackEvacuated(changes: EvacuationChange[]): void {
+        changes.filter(change => change.isEvacuated).forEach(change => this.tracker.takeBack(change.dataCentre));
+    }
+
     private attachLink(link: Link): void {
         // A restarted control process does not know that callers have been served.
         if (this.forwarder.hasReceivedRequests()) {
--- a/packages/gateway/src/invalidResponses.steps.ts
+++ b/packages/gateway/src/invalidResponses.steps.ts
@@ -19,6 +19,7 @@
             const metrics = registerGatewayMetrics(registry, {
                 countLimited: () => 0,
                 countPaused: () => 0,
+                countEvacuated: () => 0,
                 countHeldBytes: () => ({}),
             });
             const logger = createLogger({ level: "info", write: line => lines.push(line) });
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,6 +22,8 @@
     countLimited: () => number;
     /** Counts the endpoints that have asked to be sent nothing now. */
     countPaused: () => number;
+    /** Counts the evacuated data centres. */
+    countEvacuated: () => number;
     /** Counts the bytes that are held for peers, by what they are. */
     countHeldBytes: () => Record<string, number>;
 }
@@ -47,6 +49,14 @@
             this.set(options.countPaused());
         },
     });
+    new Gauge({
+        name: "kumquathall_gateway_evacuated_data_centres",
+        help: "Data centres whose endpoints get nothing new, since an operator has ordered their evacuation",
+        registers,
+        collect() {
+            this.set(options.countEvacuated());
+        },
+    });
     new Gauge({
         name: "kumquathall_gateway_held_bytes",
         help: "Memory held for bodies of requests, responses without events, and events that callers have not read",
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -35,6 +35,8 @@
     OverLimit: { name: "over-limit", status: 503, retryAfterMs: 1000 },
     /** Each endpoint has rejected requests and asked to be sent nothing for a time. */
     EndpointsPaused: { name: "endpoints-paused", status: 503, retryAfterMs: 1000 },
+    /** All endpoints that could serve the request are in evacuated data centres. */
+    DataCentresEvacuated: { name: "data-centres-evacuated", status: 503, retryAfterMs: 2000 },
     NotInTime: { name: "not-in-time", status: 503, retryAfterMs: 1000 },
     EndpointFailed: { name: "endpoint-failed", status: 502 },
     /** The caller does not read a response that has started. */
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -7,6 +7,8 @@
     TrafficService,
 } from "@kumquathall/types";
 
+import { type EvacuationChange, Evacuations } from "./evacuations.js";
+
 /** The routes of one host by path prefix. */
 class HostRoutes {
     private readonly routes = new Map<string, TrafficRoute>();
@@ -45,6 +47,7 @@
     private readonly entries = new Map<string, ConfigurationValue>();
     private readonly hosts = new Map<string, HostRoutes>();
     private readonly accountsByKey = new Map<string, TrafficAccount>();
+    private readonly evacuations = new Evacuations();
     private accountCount = 0;
     private current: Extract<ConfigurationValue, { kind: "traffic" }> | undefined;
 
@@ -62,8 +65,25 @@
         return this.current?.services.find(service => service.name === name);
     }
 
-    /** Applies the changes of an update; a snapshot replaces everything. */
-    apply(update: ConfigurationUpdate): void {
+    /** Whether nothing new may be sent to the endpoints of a data centre. */
+    isEvacuated(dataCentre: string): boolean {
+        return this.evacuations.has(dataCentre);
+    }
+
+    /** Monotonic time at which the withdrawal of an evacuation was applied; `undefined` without one. */
+    getReturnedAt(dataCentre: string): number | undefined {
+        return this.evacuations.getReturnedAt(dataCentre);
+    }
+
+    countEvacuated(): number {
+        return this.evacuations.count();
+    }
+
+    /**
+     * Applies the changes of an update; a snapshot replaces everything. Entries of other kinds are ignored. Returns the
+     * evacuations that differ.
+     */
+    apply(update: ConfigurationUpdate, now = performance.now()): EvacuationChange[] {
         const changes = new Map(update.changes.map(change => [change.key, change.value]));
         const replaced = update.isSnapshot ? [...this.entries.keys()] : [...changes.keys()];
         // A key may move from one account to another: everything old is removed before anything new is added.
@@ -75,6 +95,7 @@
                 this.addEntry(key, value);
             }
         }
+        return this.evacuations.apply(update, now);
     }
 
     /** Finds the route of a host with the longest matching path prefix; ignores the host's port and the query. */
@@ -113,6 +134,9 @@
     }
 
     private addEntry(key: string, value: ConfigurationValue): void {
+        if (!value.kind.startsWith("traffic")) {
+            return;
+        }
         this.entries.set(key, value);
         if (value.kind === "traffic") {
             this.current = value;
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -26,6 +26,8 @@
 export interface ForwardingHarnessOptions {
     clock: VirtualClock;
     endpoints: number;
+    /** Data centres of the endpoints; by default all are in the same one. */
+    dataCentres?: string[];
     /** Retries that the gateway may send in a window, beyond the first. */
     retrySlack?: number;
     route?: Partial<TrafficRoute>;
@@ -46,6 +48,7 @@
     readonly connections: CallerConnections;
     readonly forwarder: Forwarder;
     readonly tracker: EndpointTracker;
+    readonly table: RouteTable;
     isStopping = false;
     private stopPlan: { plan: StopPlan; startedAt: number } | undefined;
     private readonly registry = new Registry();
@@ -58,13 +61,15 @@
         const metrics = registerGatewayMetrics(this.registry, {
             countLimited: () => 0,
             countPaused: () => 0,
+            countEvacuated: () => 0,
             countHeldBytes: () => this.forwarder.countHeldBytes(),
         });
         const table = buildTable(options.route);
+        this.table = table;
         this.tracker = new EndpointTracker({ getService: name => table.getService(name), logger });
         this.endpoints = Array.from(
             { length: options.endpoints },
-            (_, at) => ScriptedEndpoint.register(this.tracker, SERVICE, `e${at + 1}`),
+            (_, at) => ScriptedEndpoint.register(this.tracker, SERVICE, `e${at + 1}`, options.dataCentres?.[at]),
         );
         this.server = createServer({ requestTimeout: 0 }, (request, response) => {
             if (this.connections.addRequest(request, response)) {
--- a/packages/gateway/src/testing/plainHeaderCodec.ts
+++ b/packages/gateway/src/testing/plainHeaderCodec.ts
@@ -55,7 +55,7 @@
         return kept;
     }
 
-    override encodeRefusal(): Record<string, string> {
-        return {};
+    override encodeRefusal(_requestId: string | undefined, retryAfterMs?: number): Record<string, string> {
+        return retryAfterMs === undefined ? {} : { "return-ms": String(Math.round(retryAfterMs)) };
     }
 }
--- a/packages/gateway/src/testing/scriptedEndpoint.ts
+++ b/packages/gateway/src/testing/scriptedEndpoint.ts
@@ -18,13 +18,15 @@
 /** An endpoint without a network: the gateway's attempts at it are kept, and a test answers them. */
 export class ScriptedEndpoint {
     readonly attempts: ScriptedAttempt[] = [];
+    /** Whether its connections are being opened, so that nothing is written to it yet. */
+    isConnecting = false;
 
     private constructor(readonly id: string) {}
 
     /** Announces an endpoint of the service to the tracker, and replaces its connections. */
-    static register(tracker: EndpointTracker, service: string, id: string): ScriptedEndpoint {
+    static register(tracker: EndpointTracker, service: string, id: string, dataCentre?: string): ScriptedEndpoint {
         const endpoint = new ScriptedEndpoint(id);
-        tracker.record([buildHeartbeat(service, id)], performance.now());
+        tracker.record([buildHeartbeat(service, id, dataCentre)], performance.now());
         const tracked = tracker.listPlainEndpoints(service, performance.now()).find(item => item.view.id === id);
         if (tracked === undefined) {
             throw new Error(
@@ -59,7 +61,7 @@
             abort: () => {
                 attempt.isAborted = true;
             },
-            isWritten: () => true,
+            isWritten: () => !this.isConnecting,
             stopReading: () => {
                 attempt.isPaused = true;
             },
@@ -125,13 +127,13 @@
     return { ...buildHeartbeat(service, id), id: `${id}-rival`, bornMs: 2 };
 }
 
-function buildHeartbeat(service: string, id: string): HeartbeatFact {
+function buildHeartbeat(service: string, id: string, dataCentre = "d"): HeartbeatFact {
     return {
         kind: "heartbeat",
         id,
         service,
         address: `${id}.example:1`,
-        dataCentre: "d",
+        dataCentre,
         slots: 4,
         isLeaving: false,
         bornMs: 1,
--- a/packages/gateway/src/trafficConfigurationReader.ts
+++ b/packages/gateway/src/trafficConfigurationReader.ts
@@ -1,7 +1,9 @@
+import { EVACUATION_KEY_PREFIX, TRAFFIC_KEY } from "@kumquathall/control-state";
 import { describeError } from "@kumquathall/errors";
 import type { Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
 import type { ConfigurationUpdate, ControlAnswer } from "@kumquathall/types";
+import type { EvacuationChange } from "./evacuations.js";
 import { RouteTable } from "./routeTable.js";
 
 export interface TrafficConfigurationReaderOptions {
@@ -10,6 +12,8 @@
     onChange: (table: RouteTable) => void;
     /** Called with each update of the entries that gateways read. */
     onUpdate?: (update: ConfigurationUpdate) => void;
+    /** Called after evacuations of data centres have been put in force or withdrawn. */
+    onEvacuations?: (changes: EvacuationChange[]) => void;
     /** Draws numbers in [0, 1), by which a gateway prefers one member or another. */
     random?: () => number;
 }
@@ -22,8 +26,11 @@
     rank: number;
 }
 
-/** Keys of the traffic configuration and of what is quarantined begin with this. */
-const KEY_PREFIX = "traffic";
+/**
+ * The keys of the traffic configuration, of what is quarantined, and of evacuations begin with these. Members of earlier
+ * builds ignore the list and send all entries, of which those of other kinds are ignored here.
+ */
+const READ_SCOPE = { keyPrefix: "", keyPrefixes: [TRAFFIC_KEY, EVACUATION_KEY_PREFIX] };
 /** Timeout of a read, in milliseconds. An answer that comes after another member was asked is used if it still fits. */
 const READ_TIMEOUT_MS = 30_000;
 /** Interval in which an answer must make progress, in milliseconds; it doubles with each read that makes none. */
@@ -56,6 +63,11 @@
 
     constructor(private readonly options: TrafficConfigurationReaderOptions) {}
 
+    /** Number of evacuated data centres. */
+    countEvacuated(): number {
+        return this.table.countEvacuated();
+    }
+
     /** The table in force; `undefined` before the first version. */
     getTable(): RouteTable | undefined {
         return this.table.getVersion() === 0 ? undefined : this.table;
@@ -171,7 +183,7 @@
         const startedAt = performance.now();
         const bytesBefore = link.getTraffic().receivedBytes;
         try {
-            const call = { kind: "readConfiguration", since, keyPrefix: KEY_PREFIX };
+            const call = { kind: "readConfiguration", since, ...READ_SCOPE };
             const answer = await link.call(call, READ_TIMEOUT_MS) as ControlAnswer;
             if (answer.kind !== "update" || answer.update.revision <= since) {
                 return false;
@@ -196,10 +208,13 @@
         const previous = this.table.getVersion();
         const now = performance.now();
         const announcedAt = this.pending[0]?.announcedAt ?? now;
-        this.table.apply(update);
+        const evacuations = this.table.apply(update, now);
         this.options.onUpdate?.(update);
         this.revision = update.revision;
         this.pending = this.pending.filter(item => item.revision > update.revision);
+        if (evacuations.length > 0) {
+            this.recordEvacuations(evacuations, { revision: update.revision, announcedAt, now });
+        }
         const version = this.table.getVersion();
         if (version === previous) {
             return;
@@ -215,6 +230,17 @@
         });
         this.options.onChange(this.table);
     }
+
+    private recordEvacuations(
+        changes: EvacuationChange[],
+        { revision, announcedAt, now }: { revision: number; announcedAt: number; now: number },
+    ): void {
+        const sinceAnnouncedMs = Math.round(now - announcedAt);
+        changes.forEach(change =>
+            this.options.logger.info("evacuation-applied", { ...change, revision, sinceAnnouncedMs })
+        );
+        this.options.onEvacuations?.(changes);
+    }
 }
 
 function wait(ms: number): Promise<undefined> {
--- a/packages/matrix/src/configurationDelivery.feature
+++ b/packages/matrix/src/configurationDelivery.feature
@@ -32,3 +32,18 @@
         Then the gateway is behind after 1600 ms, but not after 1400 ms
         When the first member answers reads again
         Then the gateway has version 2 and is not behind
+
+    # Guards against evacuations that gateways don't read from members of earlier builds, or miss since they come between
+    # configurations, and against snapshots or differences of one member that undo what another has sent.
+    Scenario Outline: Evacuations are in force at every gateway within 500 ms, whichever builds the members run
+        Given 3 control members and 12 gateways with links of 2 MB per second each, and a configuration of 200 routes
+        And <earlier> of the members run an earlier build
+        When "a" is evacuated, a key is revoked, "b" is evacuated and the evacuation of "a" is withdrawn, 1 s after each other
+        Then each of them was in force at every gateway within 500 ms
+        And a gateway that starts now has evacuated "b" only, before it serves
+
+        Examples:
+            | earlier |
+            | 0       |
+            | 2       |
+            | 3       |
--- a/packages/matrix/src/deliverySimulation.ts
+++ b/packages/matrix/src/deliverySimulation.ts
@@ -7,6 +7,7 @@
     type Command,
     type ControlAnswer,
     type ControlCall,
+    DrainKind,
     RequestKind,
     type RevisionCast,
     type TrafficConfiguration,
@@ -81,6 +82,8 @@
 class DeliveringMember {
     /** Whether reads of the configuration get no answer. */
     isSilent = false;
+    /** Whether it reads only the fields of calls that earlier builds had. */
+    isEarlierBuild = false;
     readonly vm = createSimulatedVm(MEMBER_BYTES_PER_MS);
     private readonly stateMachine = new ControlStateMachine();
     private readonly distributor = new Distributor(() => this.stateMachine.getState().configuration, logger);
@@ -120,7 +123,7 @@
     }
 
     readWhole(): ControlAnswer {
-        return this.distributor.read(0, "traffic");
+        return this.distributor.read({ since: 0, keyPrefix: "traffic" });
     }
 
     close(): void {
@@ -134,7 +137,7 @@
         if (this.isSilent) {
             return new Promise(() => undefined);
         }
-        const answer = this.distributor.read(call.since, call.keyPrefix ?? "");
+        const answer = this.distributor.read(this.isEarlierBuild ? { ...call, keyPrefixes: undefined } : call);
         this.onRead(answer);
         return answer;
     }
@@ -153,6 +156,8 @@
     private readonly appliedAt: Map<number, number>[] = [];
     private traffic: TrafficConfiguration;
     private readBytes = 0;
+    /** Index of the newest command. */
+    private index = 0;
 
     private constructor(private readonly options: DeliverySimulationOptions) {
         const recordRead = (answer: ControlAnswer) => {
@@ -210,6 +215,12 @@
         await this.settle();
     }
 
+    /** Orders or withdraws the evacuation of a data centre. */
+    setEvacuation(name: string, isEvacuated: boolean): void {
+        const kind = isEvacuated ? "drain" : "undrain";
+        this.apply({ kind, operator: "o", target: DrainKind.DataCentre, name, at: new Date().toISOString() });
+    }
+
     /** Waits until all deliveries have ended. */
     settle(): Promise<void> {
         return this.options.advance(SETTLE_MS);
@@ -250,10 +261,16 @@
     private async publish(): Promise<void> {
         const command = await this.members[0].buildCommand(this.traffic);
         this.confirmedAt.set(this.traffic.version, performance.now());
-        this.members.forEach(member => member.apply(structuredClone(command), this.traffic.version));
+        this.apply(command);
+    }
+
+    private apply(command: Command): void {
+        this.index++;
+        this.members.forEach(member => member.apply(structuredClone(command), this.index));
     }
 
-    private openGateway(gateway: number): void {
+    /** Starts a gateway with links to all members. */
+    openGateway(gateway = this.readers.length): TrafficConfigurationReader {
         const vm = createSimulatedVm(this.options.gatewayBytesPerMs);
         const applied = new Map<number, number>();
         this.appliedAt.push(applied);
@@ -277,5 +294,6 @@
             });
             this.links.push(member.accept(far), link);
         }
+        return reader;
     }
 }
--- a/packages/types/src/command.ts
+++ b/packages/types/src/command.ts
@@ -82,7 +82,8 @@
 /** Starts or ends the drain of a VM, a fabric domain or a data centre. */
 export interface DrainCommand {
     kind: "drain" | "undrain";
-    changeId: string;
+    /** Absent in orders that are resent unchanged: their results are not stored. */
+    changeId?: string;
     operator: string;
     target: DrainKindValue;
     name: string;
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -32,8 +32,11 @@
     | { kind: "query"; query: ControlQuery }
     /** Asks for the member's configuration revision, and for a {@link RevisionCast} after each change of it. */
     | { kind: "watchRevision" }
-    /** Reads the changes after a revision, of all entries or of those whose keys begin with a prefix. */
-    | { kind: "readConfiguration"; since: Revision; keyPrefix?: string }
+    /**
+     * Reads the changes after a revision, of all entries or of those whose keys begin with one of `keyPrefixes`. Members of
+     * earlier builds know only `keyPrefix`, which applies if `keyPrefixes` is absent.
+     */
+    | { kind: "readConfiguration"; since: Revision; keyPrefix?: string; keyPrefixes?: string[] }
     /** Asks for membership in the control group. Like `members`, it is answered with the current members. */
     | { kind: "join"; member: string }
     | { kind: "members" }
@@ -127,6 +130,8 @@
     strandedAccelerators: number;
     logEntries: number;
     ledgerKeys: number;
+    /** Absent in answers of earlier builds. */
+    evacuatedDataCentres?: string[];
 }
 
 /** Sent by an entry to an agent to run one request. */
