Measure at gateways the work that callers offer, by service and model

Cause: the planner divides engines by declared shares; nothing measures what callers ask for, and refused requests are seen nowhere.

--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -1,4 +1,5 @@
 import { ByteBudget } from "@kumquathall/byte-collector";
+import type { DemandMeter } from "@kumquathall/demand";
 import type { Logger } from "@kumquathall/logger";
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -41,6 +42,8 @@
     onFirstRequest: () => void;
     quarantine: QuarantineList;
     crashReporter: CrashReporter;
+    /** Measures the work that callers offer; `undefined` if nobody asks for it. */
+    demand?: DemandMeter;
     /** Counts the gateways that share the retry budget. */
     countGateways: () => number;
     /** Retries that all gateways together may send beyond the ratio in one window. */
@@ -176,6 +179,12 @@
             refuseRequest({ ...RefusalCause.Quarantined, detail }, route.name, quarantined);
             return;
         }
+        const service = chooseTarget(route, Math.random());
+        const ageMs = head.deadlineMs === undefined ? 0 : this.ages.estimateAgeMs(route.name, head.deadlineMs);
+        const profile = table.getService(service)?.engine;
+        if (profile !== undefined) {
+            this.options.demand?.record({ ...head, service, profile, ageMs });
+        }
         const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
         if (!this.options.canAccept(timeoutMs)) {
             refuseRequest(RefusalCause.Stopping, route.name);
@@ -229,7 +238,6 @@
                 refuseRequest(RefusalCause.Stopping, route.name);
                 return;
             }
-            const service = chooseTarget(route, Math.random());
             const forwarded = new ForwardedRequest({
                 request,
                 response,
@@ -250,7 +258,7 @@
                 metrics,
                 budget: this.getBudget(service),
                 bias: this.bias,
-                ageMs: head.deadlineMs === undefined ? 0 : this.ages.estimateAgeMs(route.name, head.deadlineMs),
+                ageMs,
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
                 answerBytes: this.answerBytes,
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,5 +1,6 @@
 import { attachPacer, ChunkPacer } from "@kumquathall/byte-collector";
 import { ControlDirectory } from "@kumquathall/control-directory";
+import { DemandMeter, DemandTotals } from "@kumquathall/demand";
 import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
 import { describeError } from "@kumquathall/errors";
 import {
@@ -16,6 +17,7 @@
     ConfigurationUpdate,
     ControlAnswer,
     CrashEvidenceFact,
+    DemandTotalsCast,
     EndpointFact,
     LimitFact,
     PermitGrant,
@@ -57,9 +59,11 @@
     | RevisionCast
     | { kind: "endpointFacts"; facts: EndpointFact[] }
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
-    | { kind: "endpointLimits"; facts: LimitFact[] };
+    | { kind: "endpointLimits"; facts: LimitFact[] }
+    | DemandTotalsCast;
 
 const STALE_CHECK_MS = 5000;
+const DEMAND_INTERVAL_MS = 1000;
 /** Largest header block that is parsed, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
 /** Callers reuse idle connections up to the configured limit; the server keeps them open this much longer. */
@@ -80,6 +84,10 @@
     private readonly connections: CallerConnections;
     private readonly readyServer: Server;
     private readonly staleTimer: NodeJS.Timeout;
+    private readonly demand = new DemandMeter(performance.now());
+    /** The work that callers offer to all gateways. */
+    private readonly demandTotals = new DemandTotals();
+    private readonly demandTimer: NodeJS.Timeout;
     /** Paces the bodies of all callers. */
     private readonly pacer = new ChunkPacer();
     /** The stop under way. */
@@ -139,6 +147,7 @@
             isStopping: () => this.stop !== undefined,
         });
         this.staleTimer = setInterval(() => this.removeStale(), STALE_CHECK_MS);
+        this.demandTimer = setInterval(() => this.reportDemand(), DEMAND_INTERVAL_MS);
         this.forwarder = new Forwarder({
             tracker: this.tracker,
             limits: this.limits,
@@ -158,6 +167,7 @@
             onFirstRequest: () => this.announceTraffic(),
             quarantine: this.quarantine,
             crashReporter: this.crashReporter,
+            demand: this.demand,
             countGateways: () => this.directory.countGateways(),
             retrySlack: settings.retryBudget.slack,
             retryRatio: settings.retryBudget.ratio,
@@ -214,6 +224,7 @@
         this.tracker.close();
         this.limits.close();
         clearInterval(this.staleTimer);
+        clearInterval(this.demandTimer);
         this.connections.closeAll(CloseReason.StopEnded);
         this.server.close();
         this.readyServer.close();
@@ -311,6 +322,12 @@
                 performance.now(),
             );
         }
+        else if (message.kind === "demandTotals") {
+            const reason = this.demandTotals.record(message, performance.now());
+            if (reason !== undefined) {
+                this.faults.record({ kind: "demand-totals", reason, writer: selection.writer });
+            }
+        }
         else {
             this.crashReporter.recordFacts(
                 selectUsable({ ...selection, kind: "crash-evidence", facts: message.facts, findFault: findCrashFault }),
@@ -319,6 +336,13 @@
         }
     }
 
+    private reportDemand(): void {
+        const report = this.demand.collect(performance.now());
+        if (report !== undefined) {
+            this.directory.castAll(report);
+        }
+    }
+
     private announceTraffic(): void {
         this.directory.castAll({ kind: "trafficSeen" });
     }
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -1,5 +1,6 @@
+import { DemandMeter } from "@kumquathall/demand";
 import { createLogger } from "@kumquathall/logger";
-import { RequestKind, type TrafficRoute } from "@kumquathall/types";
+import { type EngineProfile, RequestKind, type TrafficRoute } from "@kumquathall/types";
 import { createServer, type Server } from "node:http";
 import { Registry } from "prom-client";
 import { CallerConnections, CloseReason } from "../callerConnections.js";
@@ -29,6 +30,8 @@
     /** Retries that the gateway may send in a window, beyond the first. */
     retrySlack?: number;
     route?: Partial<TrafficRoute>;
+    /** Makes the service one of engines; none of them heads a group. */
+    engine?: EngineProfile;
 }
 
 /** Name of the service that all endpoints belong to. */
@@ -46,6 +49,7 @@
     readonly connections: CallerConnections;
     readonly forwarder: Forwarder;
     readonly tracker: EndpointTracker;
+    readonly demand = new DemandMeter(performance.now());
     isStopping = false;
     private stopPlan: { plan: StopPlan; startedAt: number } | undefined;
     private readonly registry = new Registry();
@@ -60,7 +64,7 @@
             countPaused: () => 0,
             countHeldBytes: () => this.forwarder.countHeldBytes(),
         });
-        const table = buildTable(options.route);
+        const table = buildTable(options.route, options.engine);
         this.tracker = new EndpointTracker({ getService: name => table.getService(name), logger });
         this.endpoints = Array.from(
             { length: options.endpoints },
@@ -99,6 +103,7 @@
             onFirstRequest: () => undefined,
             quarantine: new QuarantineList(logger),
             crashReporter: new CrashReporter({ id: "g", sendAll: () => undefined }),
+            demand: this.demand,
             countGateways: () => 1,
             retrySlack: options.retrySlack ?? 0,
             retryRatio: 0,
@@ -178,7 +183,7 @@
     }
 }
 
-function buildTable(route: Partial<TrafficRoute> = {}): RouteTable {
+function buildTable(route: Partial<TrafficRoute> = {}, engine?: EngineProfile): RouteTable {
     const table = new RouteTable();
     table.apply({
         since: 0,
@@ -191,7 +196,7 @@
                 value: {
                     kind: "traffic",
                     version: 1,
-                    services: [{ name: SERVICE, maxConnections: 100, engine: undefined }],
+                    services: [{ name: SERVICE, maxConnections: 100, engine }],
                     limits: {
                         maxHeaderBytes: 16_384,
                         maxBodyBytes: 65_536,
--- a/packages/gateway/src/testing/plainHeaderCodec.ts
+++ b/packages/gateway/src/testing/plainHeaderCodec.ts
@@ -11,11 +11,12 @@
 
     override decodeRequest(headers: Map<string, string>): RequestHead {
         const lastEventId = headers.get("resume-after");
+        const deadlineMs = headers.get("deadline");
         return {
             requestId: headers.get("request-id"),
-            deadlineMs: undefined,
+            deadlineMs: deadlineMs === undefined ? undefined : Number(deadlineMs),
             key: undefined,
-            model: undefined,
+            model: headers.get("model"),
             promptTokens: undefined,
             promptParts: [],
             maxAnswerTokens: undefined,
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./configuration.js";
 export * from "./consensusLog.js";
 export * from "./crash.js";
+export * from "./demand.js";
 export * from "./endpoint.js";
 export * from "./limit.js";
 export * from "./message.js";
