Plan groups by the measured demand where the declared shares say nothing about it

Cause: with 57 engines, models of 8 and 4 and a declared share of 0.5 each, the fleet keeps 3 and 6 groups at a demand of 0.3 and 0.7. Change: ShareSelector chooses the shares (more than a tenth of difference for 2 s), Allocation, chooseRebalance and RebalanceHistory are modules of their own. By measured shares, one large group gives members for several small ones and several small groups for a large one, the cheapest groups first by loads and running requests, one rebalance at a time; what members lack is staged ahead while they serve. DemandTask at control keeps the figures and sends demandTotals. Endpoints of evacuated data centres form no groups and count zero; the lookup is an option of EndpointTask. Deployments with differing shares plan as before. Control's measured share is a gauge and one log line for each change.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -21,11 +21,13 @@
     CrashEvidenceFact,
     EndpointFact,
     LimitFact,
+    ModelDemandCast,
     PermitWant,
     TrafficConfiguration,
 } from "@kumquathall/types";
 import type { ControlSettings } from "./controlSettings.js";
 import { ControlStateMachine } from "./controlStateMachine.js";
+import { DemandTask } from "./demandTask.js";
 import { Distributor } from "./distributor.js";
 import { EndpointTask } from "./endpointTask.js";
 import { LeaderCaller } from "./leaderCaller.js";
@@ -53,6 +55,7 @@
     | { kind: "endpointFacts"; facts: EndpointFact[] }
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
     | { kind: "endpointLimits"; facts: LimitFact[] }
+    | ModelDemandCast
     /** A gateway has received its first request; sent by the gateway, and by members to which this was reported. */
     | { kind: "trafficSeen" };
 
@@ -80,6 +83,7 @@
     private endpointTask: EndpointTask | undefined;
     private quarantineTask: QuarantineTask | undefined;
     private limitTask: LimitTask | undefined;
+    private demandTask: DemandTask | undefined;
     private directory: ControlDirectory | undefined;
 
     private constructor(
@@ -167,6 +171,7 @@
         this.endpointTask?.close();
         this.quarantineTask?.close();
         this.limitTask?.close();
+        this.demandTask?.close();
         this.directory?.close();
         this.distributor.close();
         this.listener?.close();
@@ -241,6 +246,7 @@
                     this.endpointTask?.removeLink(link);
                     this.quarantineTask?.removeLink(link);
                     this.limitTask?.removeLink(link);
+                    this.demandTask?.removeLink(link);
                 },
             },
         });
@@ -273,9 +279,17 @@
         }
         if (this.options.canOrderEngines === true) {
             const options = { runtime: this.runtime, stateMachine: this.stateMachine, logger };
+            const demandTask = new DemandTask({
+                runtime: this.runtime,
+                logger,
+                faults: this.faults,
+                metrics: this.context.metrics,
+            });
+            this.demandTask = demandTask;
             this.endpointTask = new EndpointTask({
                 ...options,
                 faults: this.faults,
+                demand: demandTask,
                 getNamedLimit: endpoint => this.limitTask?.getNamedLimit(endpoint),
             });
             this.quarantineTask = new QuarantineTask(options);
@@ -339,6 +353,10 @@
             cast.facts.forEach(fact => this.endpointTask?.record(fact, link.peer?.id ?? ""));
             return;
         }
+        if (cast.kind === "modelDemand") {
+            this.demandTask?.record(cast, link);
+            return;
+        }
         const selection = { faults: this.faults, writer: link.peer?.id ?? "" };
         if (cast.kind === "crashEvidence") {
             this.quarantineTask?.record(
@@ -403,6 +421,7 @@
             case "watchEndpoints":
                 this.quarantineTask?.watch(link);
                 this.limitTask?.watch(link);
+                this.demandTask?.watch(link);
                 this.endpointTask?.watch(link);
                 return { kind: "endpoints", facts: [] };
             case "takePermits":
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -22,6 +22,7 @@
     TrafficService,
 } from "@kumquathall/types";
 import type { ControlStateMachine } from "./controlStateMachine.js";
+import type { DemandTask } from "./demandTask.js";
 import { FactFilter, hasOnlyLoadChange } from "./factFilter.js";
 import { isFleetSettled } from "./settling.js";
 
@@ -33,6 +34,10 @@
     faults?: InputFaultLog;
     /** Requests a second that an incarnation (`ID@MS`) accepts; `undefined` if its requests are not limited. */
     getNamedLimit?: (endpoint: string) => number | undefined;
+    /** Chooses the shares of models by the measured demand; the declared ones apply without it. */
+    demand?: Pick<DemandTask, "choosePlan">;
+    /** Whether a data centre is evacuated; none is by default. */
+    isEvacuated?: (dataCentre: string) => boolean;
 }
 
 const TICK_MS = 40;
@@ -292,9 +297,12 @@
             maxConcurrent: engine.maxConcurrentLoads,
         }, now);
         this.budgets.set(service.name, budget);
+        const demand = this.options.demand?.choosePlan(service, engine, views.length, now);
         const planned = planEngineOrders({
             views,
-            profile: engine,
+            profile: demand?.profile ?? engine,
+            rebalances: demand?.rebalances,
+            isEvacuated: view => this.isEvacuated(view),
             now,
             isBeforeTraffic: !this.isTrafficSeen,
             isSettled: isFleetSettled({
@@ -318,6 +326,11 @@
         planned.forEach(item => this.sendOrder(item, now));
     }
 
+    /** Whether the data centre of an endpoint is evacuated; the lookup on the configuration is connected here. */
+    private isEvacuated(view: EndpointView): boolean {
+        return this.options.isEvacuated?.(view.dataCentre) === true;
+    }
+
     /** Part of a group's usual work that its head accepts, 0 to 1. */
     private computeAcceptedPart(head: EndpointView, engine: EngineProfile, model: EngineModelProfile): number {
         const limit = this.options.getNamedLimit?.(`${head.id}@${head.bornMs}`);
--- a/packages/engine-groups/src/index.ts
+++ b/packages/engine-groups/src/index.ts
@@ -4,3 +4,5 @@
 export { LoadBudget, type LoadBudgetOptions } from "./loadBudget.js";
 export { OrderTracker } from "./orderTracker.js";
 export { type OrderPlanInput, planEngineOrders, type PlannedOrder } from "./planOrders.js";
+export { RebalanceHistory } from "./rebalanceHistory.js";
+export { isDemandDriven, type ShareSelection, type ShareSelectionInput, ShareSelector } from "./shareSelector.js";
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -1,8 +1,11 @@
 import type { EndpointView } from "@kumquathall/endpoint-registry";
 import { EngineGroupState, type EngineModelProfile, type EngineOrder, type EngineProfile } from "@kumquathall/types";
+import { Allocation } from "./allocation.js";
 import { isStaged, isStandbyOf, isStraggler, isWarm, mustLoad } from "./engineState.js";
 import { formatGroupName, parseGroupName } from "./groupName.js";
 import { type EngineGroup, formatGroupKey, listEngineGroups } from "./listGroups.js";
+import { chooseDeclaredRebalance, chooseMeasuredRebalance, type Rebalance, type RebalanceInput } from "./rebalance.js";
+import type { RebalanceHistory } from "./rebalanceHistory.js";
 
 /** What the plan is computed from. Times are local monotonic milliseconds. */
 export interface OrderPlanInput {
@@ -35,6 +38,10 @@
     getStagingModel: (view: EndpointView) => string | undefined;
     /** Part of a group's usual work that its head accepts, 0 to 1: less than 1 if the head limits its requests. */
     getAcceptedPart?: (head: EndpointView, model: EngineModelProfile) => number;
+    /** Past rebalances, if the profile has measured shares: groups are then dissolved by {@link chooseMeasuredRebalance}. */
+    rebalances?: RebalanceHistory;
+    /** Whether an endpoint's data centre is evacuated: no group is formed there, and open groups stay and don't count. */
+    isEvacuated?: (view: EndpointView) => boolean;
 }
 
 export interface PlannedOrder {
@@ -51,17 +58,15 @@
 /** Fraction of a fabric domain's endpoints that are kept as standbys when groups are first formed. */
 const STANDBY_FRACTION = 1 / 12;
 
+/** Fraction of the concurrent loads that additional staged copies leave available to endpoints without any model. */
+const RESERVED_LOAD_FRACTION = 1 / 3;
 /**
- * Factor by which dissolving a serving group must raise the lower allocation of the two models, because the group's
- * running requests are interrupted and start again.
+ * Number of concurrent loads that the loads for a rebalance leave available to endpoints without any model. Two loads of
+ * 16 s at a time let one new endpoint every 8 s start its load at once.
  */
-const MIN_REBALANCE_GAIN = 1.25;
+const RESERVED_LOADS = 2;
 
-/**
- * Fraction of the concurrent loads that additional staged copies leave available to endpoints without any model. Two
- * loads of 16 s at a time let one new endpoint every 8 s start its load at once.
- */
-const RESERVED_LOAD_FRACTION = 1 / 3;
+const REBALANCE_REASON = "its members are needed more for another model";
 
 /** How soon an endpoint can join a group of a model, fastest first. */
 const JoinRank = { Warm: 0, Staged: 1, Staging: 2, Empty: 3, HoldsAnother: 4 } as const;
@@ -80,10 +85,7 @@
     private readonly formingIds = new Set<string>();
     /** Usable endpoints that belong to no active group, by fabric domain. */
     private readonly free = new Map<string, EndpointView[]>();
-    /** Number of replica groups that serve or are being formed, by model. */
-    private readonly groupCounts = new Map<string, number>();
-    /** The same, where a group whose head limits its requests counts only for the part of its work that it accepts. */
-    private readonly capacities = new Map<string, number>();
+    private readonly allocation = new Allocation();
     /** Endpoints that may be group members, by fabric domain. */
     private readonly usable = new Map<string, EndpointView[]>();
     /** Models that groups can be formed of, as the profile lists them. */
@@ -132,7 +134,7 @@
             const mustKeep = !isComplete && !isForming && !this.isConfirmedDegraded(group);
             if (isComplete || isForming || mustKeep) {
                 activeKeys.add(group.key);
-                this.countGroup(group.model, this.getAcceptedPart(group));
+                this.countGroup(group);
             }
             if (isForming) {
                 this.completeJoins(group);
@@ -259,6 +261,9 @@
             if (domain === undefined || view.isLost || view.isLeaving || !view.isObserved || !this.isFresh(view)) {
                 continue;
             }
+            if (this.input.isEvacuated?.(view) === true) {
+                continue;
+            }
             this.usable.set(domain, [...this.usable.get(domain) ?? [], view]);
             const group = view.engine?.group;
             const isInGroup = group !== undefined && activeKeys.has(formatGroupKey(group.name, group.epoch));
@@ -284,7 +289,7 @@
                 cold.forEach(view => this.stage(view, model));
                 continue;
             }
-            this.countGroup(model.name, 1);
+            this.allocation.addGroup(model.name, 1);
             this.formGroup(model, members);
         }
     }
@@ -292,7 +297,7 @@
     /** Chooses the most underallocated model that can form a group, and the domain with the fewest loads. */
     private chooseGroup(canLoad: boolean) {
         const models = [...this.listedModels].sort((left, right) =>
-            this.computeAcceptingAllocation(left) - this.computeAcceptingAllocation(right)
+            this.allocation.computeAccepting(left) - this.allocation.computeAccepting(right)
         );
         for (const model of models) {
             const choices = [...this.free.keys()].flatMap(domain => {
@@ -335,13 +340,13 @@
      */
     private listReserved(domain: string, model: EngineModelProfile): EndpointView[] {
         if (
-            this.input.isBeforeTraffic || (this.groupCounts.get(model.name) ?? 0) < this.computeTargetCount(model)
+            this.input.isBeforeTraffic || this.allocation.getCount(model.name) < this.computeTargetCount(model)
         ) {
             return [];
         }
         const free = this.free.get(domain) ?? [];
         return this.models.filter(other =>
-            this.computeAcceptingAllocation(other) < this.computeAcceptingAllocation(model)
+            this.allocation.computeAccepting(other) < this.allocation.computeAccepting(model)
         ).flatMap(
             other => {
                 const ready = free.filter(view =>
@@ -382,22 +387,10 @@
         return Math.ceil((this.usable.get(domain)?.length ?? 0) * STANDBY_FRACTION);
     }
 
-    /** Endpoints in a model's groups divided by its share of the fleet: lowest for the most underallocated model. */
-    private computeAllocation(model: EngineModelProfile): number {
-        return (this.groupCounts.get(model.name) ?? 0) * model.groupSize / model.share;
-    }
-
-    /**
-     * The allocation that accepts requests. It decides what free endpoints are used for. No serving group is dissolved
-     * for it, since limits end by themselves.
-     */
-    private computeAcceptingAllocation(model: EngineModelProfile): number {
-        return (this.capacities.get(model.name) ?? 0) * model.groupSize / model.share;
-    }
-
-    private countGroup(model: string, acceptedPart: number): void {
-        this.groupCounts.set(model, (this.groupCounts.get(model) ?? 0) + 1);
-        this.capacities.set(model, (this.capacities.get(model) ?? 0) + acceptedPart);
+    private countGroup(group: EngineGroup): void {
+        if (group.head === undefined || this.input.isEvacuated?.(group.head) !== true) {
+            this.allocation.addGroup(group.model, this.getAcceptedPart(group));
+        }
     }
 
     private getAcceptedPart(group: EngineGroup): number {
@@ -448,7 +441,7 @@
             return ready.length > 0 && ready.length % model.groupSize === model.groupSize - 1;
         };
         const byNeed = [...this.models].sort((left, right) =>
-            this.computeAcceptingAllocation(left) - this.computeAcceptingAllocation(right)
+            this.allocation.computeAccepting(left) - this.allocation.computeAccepting(right)
         );
         return byNeed.find(isCompleted) ?? this.models[0];
     }
@@ -459,7 +452,7 @@
      * after a restart of every engine.
      */
     private planStagedCopies(): void {
-        const reservedSlots = Math.ceil(this.input.profile.maxConcurrentLoads * RESERVED_LOAD_FRACTION);
+        const reservedSlots = this.countReservedLoads();
         for (const [domain, views] of this.usable) {
             const counts = new Map(this.models.map(model => [model.name, this.countCopies(views, model)]));
             const needs = new Map(this.models.map(model => [model.name, this.countMembers(domain, model)]));
@@ -487,6 +480,10 @@
         }
     }
 
+    private countReservedLoads(): number {
+        return Math.ceil(this.input.profile.maxConcurrentLoads * RESERVED_LOAD_FRACTION);
+    }
+
     /** Number of hosts that hold a model in memory; a host that is loading counts for the model that it loads. */
     private countCopies(views: EndpointView[], model: EngineModelProfile): number {
         return views.filter(view => {
@@ -509,55 +506,84 @@
         return [...views].sort((left, right) => getSize(left) - getSize(right));
     }
 
-    /**
-     * Dissolves a group if its members, together with free endpoints, can form a group of the most underallocated
-     * model without a load.
-     */
+    /** Dissolves groups whose members form groups of a model with a lower allocation. */
     private planRebalance(): void {
-        const recipient =
-            [...this.models].sort((left, right) => this.computeAllocation(left) - this.computeAllocation(right))[0];
-        const donors = this.groups
-            .filter(group => group.isComplete && group.isOpen && !group.isStandby && group.model !== recipient.name)
-            .filter(group => this.canRebalance(group, recipient));
-        const group = donors[0];
-        if (group?.head !== undefined) {
-            const order = { kind: "leave" as const, group: group.name, epoch: group.epoch };
-            this.push(group.head, order, "its members are needed more for another model");
+        const input: RebalanceInput = {
+            groups: this.listServing(),
+            models: this.models,
+            allocation: this.allocation,
+            free: this.free,
+            isReady: (view, model) => !mustLoad(view, model) && !this.mustAwaitOtherLoad(view, model),
+            isStaging: (view, model) => this.input.getStagingModel(view) === model.name,
+        };
+        if (this.input.rebalances !== undefined) {
+            this.planMeasuredRebalance(input, this.input.rebalances);
+            return;
+        }
+        const rebalance = chooseDeclaredRebalance({ ...input, isReady: (view, model) => !mustLoad(view, model) });
+        rebalance?.groups.forEach(group => this.releaseGroup(group, REBALANCE_REASON));
+    }
+
+    /** One rebalance at a time: until a dissolved group's head has left, the counts don't show it. */
+    private planMeasuredRebalance(input: RebalanceInput, rebalances: RebalanceHistory): void {
+        const leaving = input.groups.filter(group => this.input.getOrderedMembers(group.key)?.length === 0);
+        if (leaving.length > 0) {
+            leaving.forEach(group => this.releaseGroup(group, REBALANCE_REASON));
+            return;
+        }
+        const rebalance = chooseMeasuredRebalance(input);
+        if (rebalance === undefined || !rebalances.admitRebalance(rebalance, this.input.now)) {
+            return;
+        }
+        if (rebalance.unfinishedLoads > 0) {
+            this.stageAhead(rebalance);
+            return;
+        }
+        rebalance.groups.forEach(group => this.releaseGroup(group, REBALANCE_REASON));
+        rebalances.recordStart(rebalance, this.input.now);
+    }
+
+    /** Loads the model of the groups to come while the present ones serve. */
+    private stageAhead({ unready, loads, recipient }: Rebalance): void {
+        const reservedSlots = Math.min(RESERVED_LOADS, this.countReservedLoads());
+        let left = loads;
+        for (const view of unready) {
+            if (left > 0 && this.stage(view, recipient, reservedSlots)) {
+                left--;
+            }
+        }
+    }
+
+    /** Lists the complete replica groups that serve and may be dissolved. */
+    private listServing(): EngineGroup[] {
+        return this.groups.filter(group =>
+            group.isComplete && group.isOpen && !group.isStandby && group.head !== undefined
+            && this.input.isEvacuated?.(group.head) !== true
+        );
+    }
+
+    /** Orders the head to leave. What remains of the domain's plan waits until it has. */
+    private releaseGroup(group: EngineGroup, reason: string): void {
+        if (group.head !== undefined) {
+            this.push(group.head, { kind: "leave", group: group.name, epoch: group.epoch }, reason);
             this.free.delete(group.head.engine?.fabricDomain ?? "");
         }
     }
 
     /** Dissolves groups with stragglers if enough free endpoints can replace the stragglers without a load. */
     private planStragglers(): void {
-        for (const group of this.groups.filter(item => item.isComplete && item.isOpen && !item.isStandby)) {
+        for (const group of this.listServing()) {
             const model = this.models.find(item => item.name === group.model);
             const domain = group.head?.engine?.fabricDomain ?? "";
             const slowCount = group.members.filter(isStraggler).length;
             const free = this.free.get(domain) ?? [];
             const ready = model === undefined ? [] : free.filter(view => !isStraggler(view) && !mustLoad(view, model));
-            if (slowCount > 0 && ready.length >= slowCount && group.head !== undefined) {
-                const order = { kind: "leave" as const, group: group.name, epoch: group.epoch };
-                this.push(group.head, order, "a member is far slower than the others");
-                this.free.delete(domain);
+            if (slowCount > 0 && ready.length >= slowCount) {
+                this.releaseGroup(group, "a member is far slower than the others");
             }
         }
     }
 
-    /** Whether dissolving the group raises the lowest allocation enough and the recipient's new group needs no load. */
-    private canRebalance(group: EngineGroup, recipient: EngineModelProfile): boolean {
-        const model = this.models.find(item => item.name === group.model);
-        const domain = group.head?.engine?.fabricDomain;
-        if (model === undefined || domain === undefined) {
-            return false;
-        }
-        const donorAfter = ((this.groupCounts.get(model.name) ?? 0) - 1) * model.groupSize / model.share;
-        const recipientBefore = this.computeAllocation(recipient);
-        const recipientAfter = recipientBefore + recipient.groupSize / recipient.share;
-        const isGainSufficient = Math.min(donorAfter, recipientAfter) > recipientBefore * MIN_REBALANCE_GAIN;
-        const ready = [...this.free.get(domain) ?? [], ...group.members].filter(view => !mustLoad(view, recipient));
-        return isGainSufficient && ready.length >= recipient.groupSize;
-    }
-
     private joinStandby(view: EndpointView, model: EngineModelProfile): void {
         const name = formatGroupName({ isStandby: true, model: model.name, size: 1 });
         this.pushJoin(view, name, this.input.createEpoch(), model.name, [view.id], "a standby is kept warm");
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -3,6 +3,7 @@
 import { LoadBudget } from "../loadBudget.js";
 import { OrderTracker } from "../orderTracker.js";
 import { planEngineOrders, type PlannedOrder } from "../planOrders.js";
+import type { DemandFeed } from "./demandFeed.js";
 
 interface FleetEngine {
     view: EndpointView;
@@ -44,6 +45,10 @@
     private pendingLate: LateOrder[] = [];
     /** Part of its usual work that each head accepts which limits its requests, by id. */
     readonly acceptedParts = new Map<string, number>();
+    /** What gateways report of the demand; without it, the declared shares apply. */
+    demand: DemandFeed | undefined;
+    /** Domains whose data centre is evacuated. */
+    readonly evacuated = new Set<string>();
     readonly orders: PlannedOrder[] = [];
     /** Violated invariants, as text. */
     readonly violations: string[] = [];
@@ -119,15 +124,24 @@
         return engine?.view.id ?? "";
     }
 
-    /** Sets how many requests the heads of a model's open groups run. */
-    setRunning(model: string, running: number): void {
+    /** Sets how many requests the heads of a model's open groups run, in one domain or in all. */
+    setRunning(model: string, running: number, domain?: string): void {
         for (const engine of this.engines.values()) {
-            if (this.isServing(engine) && engine.lastModel === model) {
+            const isInDomain = domain === undefined || engine.view.engine?.fabricDomain === domain;
+            if (isInDomain && this.isServing(engine) && engine.lastModel === model) {
                 this.setStatus(engine, { running });
             }
         }
     }
 
+    /** Replaces the model that each host holds by the one that its engine serves. */
+    resetStagedCopies(): void {
+        for (const engine of this.engines.values()) {
+            engine.staging = undefined;
+            this.setStatus(engine, { staged: engine.lastModel === undefined ? [] : [engine.lastModel] });
+        }
+    }
+
     /** Ids of the members of a model's open groups. */
     listMembers(model: string): string[] {
         return [...this.engines.values()].flatMap(engine =>
@@ -207,9 +221,12 @@
             this.heartbeats.get(view.id) ?? view
         );
         views.forEach(view => this.tracker.applyReport(view, this.now));
+        const shares = this.demand?.select(views.length, this.now);
         const planned = planEngineOrders({
             views,
-            profile: this.profile,
+            profile: shares?.profile ?? this.profile,
+            rebalances: shares?.isMeasured === true ? this.demand?.rebalances : undefined,
+            isEvacuated: view => this.evacuated.has(view.dataCentre),
             now: this.now,
             isBeforeTraffic: this.isBeforeTraffic,
             isSettled: true,
