Restrict requests to the regions that their route and account allow

Cause: AllowedRegions of routes and accounts was not decoded anywhere, so that requests went to endpoints in any region.

If no endpoint is left the answer is 503 no-allowed-region.

--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -1,4 +1,4 @@
-import type { EngineModelProfile, EngineProfile, TrafficRoute } from "@kumquathall/types";
+import type { EngineModelProfile, EngineProfile, TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import { chooseLeastLoadedEndpoint } from "./chooseLeastLoadedEndpoint.js";
 import { chooseReplicaGroup } from "./chooseReplicaGroup.js";
 import type { EndpointLimits } from "./endpointLimits.js";
@@ -15,6 +15,9 @@
     limits: EndpointLimits;
     bias: FirstEventBiasEstimator;
     route: TrafficRoute;
+    account: TrafficAccount | undefined;
+    /** Returns the region of a data centre; `undefined` if it is not known. */
+    getRegion: (dataCentre: string) => string | undefined;
     service: string;
     head: RequestHead;
 }
--- a/packages/gateway/src/endpointScope.ts
+++ b/packages/gateway/src/endpointScope.ts
@@ -1,9 +1,14 @@
+import type { TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import type { TrackedEndpoint } from "./endpointTracker.js";
 import { type Refusal, RefusalCause } from "./refusal.js";
 import type { RouteTable } from "./routeTable.js";
 
 export interface EndpointScopeOptions {
     table: Pick<RouteTable, "isEvacuated">;
+    route: Pick<TrafficRoute, "allowedRegions">;
+    account: Pick<TrafficAccount, "allowedRegions"> | undefined;
+    /** Returns the region of a data centre; `undefined` if it is not known. */
+    getRegion: (dataCentre: string) => string | undefined;
 }
 
 type PlacedEndpoint = { readonly view: Pick<TrackedEndpoint["view"], "dataCentre"> };
@@ -17,7 +22,9 @@
 
     /** Selects the endpoints that may get the request. */
     select<Endpoint extends PlacedEndpoint>(endpoints: Endpoint[]): Endpoint[] {
-        return endpoints.filter(({ view }) => !this.options.table.isEvacuated(view.dataCentre));
+        return endpoints.filter(({ view }) =>
+            !this.options.table.isEvacuated(view.dataCentre) && this.isInAllowedRegion(view.dataCentre)
+        );
     }
 
     /** Builds the refusal of a request of which each endpoint is out of scope; `undefined` if that is not the reason. */
@@ -25,6 +32,16 @@
         if (endpoints.length === 0 || this.select(endpoints).length > 0) {
             return undefined;
         }
-        return { ...RefusalCause.DataCentresEvacuated, retryAfterMs: RELOCATION_MS * (0.75 + random / 2) };
+        const isElsewhere = endpoints.every(({ view }) => !this.isInAllowedRegion(view.dataCentre));
+        const cause = isElsewhere ? RefusalCause.NoAllowedRegion : RefusalCause.DataCentresEvacuated;
+        return { ...cause, retryAfterMs: RELOCATION_MS * (0.75 + random / 2) };
+    }
+
+    /** An endpoint in an unknown region is in none that is allowed. */
+    private isInAllowedRegion(dataCentre: string): boolean {
+        const { route, account, getRegion } = this.options;
+        return [route.allowedRegions, account?.allowedRegions].every(regions =>
+            regions === undefined || regions.length === 0 || regions.includes(getRegion(dataCentre) ?? "")
+        );
     }
 }
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -32,6 +32,8 @@
     /** Version by which the request was accepted. */
     configurationVersion: number;
     tracker: EndpointTracker;
+    /** Returns the region of a data centre; `undefined` if it is not known. */
+    getRegion: (dataCentre: string) => string | undefined;
     /** Connections of callers, the request's among them. */
     connections: CallerConnections;
     /** Whether the process has been asked to stop. */
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -30,6 +30,8 @@
     logger: Logger;
     metrics: GatewayMetrics;
     getTable: () => RouteTable | undefined;
+    /** Returns the region of a data centre; `undefined` if it is not known. */
+    getRegion: (dataCentre: string) => string | undefined;
     /** Whether the table is known to be superseded for longer than it may be used. */
     isConfigurationBehind: () => boolean;
     /** Whether the process has been asked to stop. */
@@ -242,6 +244,7 @@
                 table,
                 configurationVersion,
                 tracker: this.options.tracker,
+                getRegion: this.options.getRegion,
                 limits: this.options.limits,
                 connections: this.options.connections,
                 isStopping,
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -45,6 +45,8 @@
     readyListen: string;
     /** Addresses at which control members listen for links. */
     seeds: string[];
+    /** Regions by data centre; by default none is known. */
+    regions?: Record<string, string>;
     /** Time limit from the stop signal to the end of the process, in milliseconds. */
     stopWithinMs: number;
     /**
@@ -94,6 +96,7 @@
     ) {
         const { logger } = context;
         const faults = createInputFaultLog(context);
+        const regions = new Map(Object.entries(settings.regions ?? {}));
         this.faults = faults;
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
@@ -150,6 +153,7 @@
             logger,
             metrics: this.metrics,
             getTable: () => this.reader.getTable(),
+            getRegion: dataCentre => regions.get(dataCentre),
             isConfigurationBehind: () => this.reader.isBehind(performance.now()),
             isStopping: () => this.stop !== undefined,
             canAccept: maxDurationMs =>
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -37,6 +37,8 @@
     EndpointsPaused: { name: "endpoints-paused", status: 503, retryAfterMs: 1000 },
     /** All endpoints that could serve the request are in evacuated data centres. */
     DataCentresEvacuated: { name: "data-centres-evacuated", status: 503, retryAfterMs: 2000 },
+    /** No endpoint that could serve the request is in a region that its route and its account allow. */
+    NoAllowedRegion: { name: "no-allowed-region", status: 503, retryAfterMs: 2000 },
     NotInTime: { name: "not-in-time", status: 503, retryAfterMs: 1000 },
     EndpointFailed: { name: "endpoint-failed", status: 502 },
     /** The caller does not read a response that has started. */
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -97,6 +97,7 @@
             logger,
             metrics,
             getTable: () => table,
+            getRegion: () => undefined,
             isConfigurationBehind: () => false,
             isStopping: () => this.isStopping,
             canAccept: () => true,
--- a/packages/types/src/traffic.ts
+++ b/packages/types/src/traffic.ts
@@ -32,6 +32,8 @@
     /** Whether requests are accepted without a client account's key. */
     isPublic: boolean;
     isResumable: boolean;
+    /** Regions in which requests may run; absent if they may run in all. */
+    allowedRegions?: string[];
 }
 
 /** One model that an engine service offers, and the shape of its replica groups. */
@@ -94,6 +96,8 @@
     name: string;
     keys: string[];
     priority: number | undefined;
+    /** Regions in which requests may run, besides the restriction of the route; absent if they may run in all. */
+    allowedRegions?: string[];
 }
 
 export interface TrafficConfiguration {
