Assign groups around evacuated data centres

Cause: a model whose groups all lie in evacuated data centres had no group elsewhere, because by declared shares only one group is dissolved for one, and a rebalance opposite to a recent one is held back.

--- a/packages/control/src/demandTask.steps.ts
+++ b/packages/control/src/demandTask.steps.ts
@@ -5,7 +5,7 @@
 import { type Clock, install } from "@sinonjs/fake-timers";
 import { strictEqual } from "node:assert";
 import { Registry } from "prom-client";
-import { DemandTask } from "./demandTask.js";
+import { type DemandPlan, DemandTask } from "./demandTask.js";
 
 const SERVICE = "s";
 const ENDPOINTS = 57;
@@ -29,6 +29,10 @@
     } as unknown as Link;
 }
 
+function choosePlan(): DemandPlan {
+    return task.choosePlan({ service, engine, endpoints: ENDPOINTS, isEvacuating: false, now: performance.now() });
+}
+
 After({ tags: "@demand-task" }, () => {
     task.close();
     clock.uninstall();
@@ -74,7 +78,7 @@
             task.record({ kind: "modelDemand", items, intervalMs: 1000 }, buildLink("g1"));
             clock.tick(1000);
             if (isLeader) {
-                task.choosePlan(service, engine, ENDPOINTS, performance.now());
+                choosePlan();
             }
         }
     },
@@ -85,7 +89,7 @@
 });
 
 Then("a plan uses the share {float} of {string}", (share: number, name: string) => {
-    const { profile } = task.choosePlan(service, engine, ENDPOINTS, performance.now());
+    const { profile } = choosePlan();
     strictEqual(profile.models.find(model => model.name === name)?.share, share);
 });
 
--- a/packages/control/src/demandTask.ts
+++ b/packages/control/src/demandTask.ts
@@ -17,10 +17,21 @@
 export interface DemandPlan {
     /** The declared profile, with the shares in use. */
     profile: EngineProfile;
-    /** State of rebalances by measured shares; `undefined` while the declared shares apply. */
+    /** State of rebalances by measured shares or for an evacuation; `undefined` while only the declared shares apply. */
     rebalances: RebalanceHistory | undefined;
 }
 
+export interface DemandPlanInput {
+    service: TrafficService;
+    engine: EngineProfile;
+    /** Number of the service's endpoints. */
+    endpoints: number;
+    /** A data centre with endpoints of the service is evacuated. */
+    isEvacuating: boolean;
+    /** Local monotonic milliseconds. */
+    now: number;
+}
+
 interface ServiceDemand {
     selector: ShareSelector;
     rebalances: RebalanceHistory;
@@ -60,8 +71,8 @@
         }
     }
 
-    /** Chooses the shares with which the leader plans a service of `endpoints` engines. */
-    choosePlan(service: TrafficService, engine: EngineProfile, endpoints: number, now: number): DemandPlan {
+    /** Chooses the shares with which the leader plans a service, and how it dissolves groups. */
+    choosePlan({ service, engine, endpoints, isEvacuating, now }: DemandPlanInput): DemandPlan {
         const { term } = this.options.runtime.getState().hardState;
         if (term !== this.term) {
             this.term = term;
@@ -75,7 +86,10 @@
         if (choice.hasChanged) {
             this.recordChange(service.name, choice.profile, choice.isMeasured);
         }
-        return { profile: choice.profile, rebalances: choice.isMeasured ? known.rebalances : undefined };
+        return {
+            profile: choice.profile,
+            rebalances: choice.isMeasured || isEvacuating ? known.rebalances : undefined,
+        };
     }
 
     /** Sends totals to a gateway from now on, while this member leads. */
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -297,7 +297,13 @@
             maxConcurrent: engine.maxConcurrentLoads,
         }, now);
         this.budgets.set(service.name, budget);
-        const demand = this.options.demand?.choosePlan(service, engine, views.length, now);
+        const demand = this.options.demand?.choosePlan({
+            service,
+            engine,
+            endpoints: views.length,
+            isEvacuating: views.some(view => this.isEvacuated(view)),
+            now,
+        });
         const planned = planEngineOrders({
             views,
             profile: demand?.profile ?? engine,
--- a/packages/engine-groups/src/demandPlanning.steps.ts
+++ b/packages/engine-groups/src/demandPlanning.steps.ts
@@ -1,6 +1,6 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import type { EngineProfile } from "@kumquathall/types";
-import { ok, strictEqual } from "node:assert";
+import { EngineGroupState, type EngineProfile } from "@kumquathall/types";
+import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { parseGroupName } from "./groupName.js";
 import { DemandFeed } from "./testing/demandFeed.js";
 import { EngineFleet } from "./testing/engineFleet.js";
@@ -216,3 +216,59 @@
     strictEqual(leaves[0].target.engine?.fabricDomain, "d1");
     strictEqual(parseGroupName("group" in leaves[0].order ? leaves[0].order.group : "")?.model, LARGE);
 });
+
+function listOrderKinds(domain: string): string[] {
+    return fleet.orders.slice(ordersBefore).flatMap(({ target, order }) =>
+        target.engine?.fabricDomain === domain ? [order.kind] : []
+    );
+}
+
+function listLargeDomains(): string[] {
+    return fleet.listEngines().flatMap(({ engine, isLost }) =>
+        engine?.group?.rank === 0 && engine.group.state === EngineGroupState.Open && !isLost
+            && parseGroupName(engine.group.name)?.model === LARGE
+            ? [engine.fabricDomain]
+            : []
+    );
+}
+
+When("data centre {string} is evacuated for {int} s", (domain: string, seconds: number) => {
+    fleet.evacuated.add(domain);
+    runFor(seconds);
+});
+
+When("the evacuation of {string} ends, and {int} s pass", (domain: string, seconds: number) => {
+    fleet.evacuated.delete(domain);
+    runFor(seconds);
+});
+
+When("the data centres with large groups are evacuated for {int} s", (seconds: number) => {
+    listLargeDomains().forEach(domain => fleet.evacuated.add(domain));
+    runFor(seconds);
+});
+
+When("a member of a large group of {string} is lost", (domain: string) => {
+    const member = fleet.listEngines(domain).find(({ engine }) => {
+        const group = parseGroupName(engine?.group?.name ?? "");
+        return group?.model === LARGE && !group.isStandby && engine?.group?.rank === 3;
+    });
+    fleet.crash(member?.id ?? "");
+});
+
+When("the fleet runs for {int} s", (seconds: number) => runFor(seconds));
+
+Then("no endpoint of {string} was ordered anything", (domain: string) => deepStrictEqual(listOrderKinds(domain), []));
+
+Then("no endpoint of {string} was ordered to join", (domain: string) => {
+    ok(!listOrderKinds(domain).includes("join"), listOrderKinds(domain).join());
+});
+
+Then("at least {int} large groups serve outside them", (count: number) => {
+    const outside = listLargeDomains().filter(domain => !fleet.evacuated.has(domain));
+    ok(outside.length >= count, fleet.listServing().join());
+    strictEqual(fleet.violations.length, 0);
+});
+
+Then("{int} large groups serve in them", (count: number) => {
+    strictEqual(listLargeDomains().filter(domain => fleet.evacuated.has(domain)).length, count);
+});
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -38,7 +38,10 @@
     getStagingModel: (view: EndpointView) => string | undefined;
     /** Part of a group's usual work that its head accepts, 0 to 1: less than 1 if the head limits its requests. */
     getAcceptedPart?: (head: EndpointView, model: EngineModelProfile) => number;
-    /** Past rebalances, if the profile has measured shares: groups are then dissolved by {@link chooseMeasuredRebalance}. */
+    /**
+     * Past rebalances, if the profile has measured shares or a data centre is evacuated: groups are then dissolved by
+     * {@link chooseMeasuredRebalance}.
+     */
     rebalances?: RebalanceHistory;
     /** Whether an endpoint's data centre is evacuated: no group is formed there, and open groups stay and don't count. */
     isEvacuated?: (view: EndpointView) => boolean;
--- a/packages/engine-groups/src/rebalance.ts
+++ b/packages/engine-groups/src/rebalance.ts
@@ -31,6 +31,8 @@
     unfinishedLoads: number;
     /** Requests that would be interrupted. */
     running: number;
+    /** The other model has no group that counts. */
+    isFirst: boolean;
 }
 
 /**
@@ -114,7 +116,7 @@
 }
 
 function buildRebalance(
-    { free, isReady, isStaging }: RebalanceInput,
+    { allocation, free, isReady, isStaging }: RebalanceInput,
     parts: Pick<Rebalance, "donor" | "recipient" | "domain" | "groups"> & { formed: number },
 ): Rebalance {
     const { donor, recipient, domain, groups, formed } = parts;
@@ -131,6 +133,7 @@
         loads: Math.max(0, needed - (views.length - unready.length)),
         unfinishedLoads: Math.max(0, needed - (views.length - others.length)),
         running: groups.reduce((sum, group) => sum + countRequests(group), 0),
+        isFirst: allocation.getCount(recipient.name) === 0,
     };
 }
 
--- a/packages/engine-groups/src/rebalanceHistory.ts
+++ b/packages/engine-groups/src/rebalanceHistory.ts
@@ -20,7 +20,7 @@
     /** The direction that is worthwhile, since when, and when it last was. */
     private wanted: { donor: string; recipient: string; since: number; seenAt: number } | undefined;
 
-    /** Records which rebalance is worthwhile now and returns whether it may be made. */
+    /** Records which rebalance is worthwhile now and returns whether it may be made. A model's first group isn't held back. */
     admitRebalance(rebalance: Rebalance, now: number): boolean {
         const donor = rebalance.donor.name;
         const recipient = rebalance.recipient.name;
@@ -33,7 +33,7 @@
             this.heldSince = now;
         }
         return now - (this.startedAt.get(rebalance.domain) ?? Number.NEGATIVE_INFINITY) >= SETTLE_MS
-            && (!isHeld || now - since >= MIN_OPPOSITE_MS);
+            && (!isHeld || rebalance.isFirst || now - since >= MIN_OPPOSITE_MS);
     }
 
     recordStart({ donor, recipient, domain }: Rebalance, now: number): void {
--- a/packages/engine-groups/src/testing/demandFeed.ts
+++ b/packages/engine-groups/src/testing/demandFeed.ts
@@ -1,6 +1,5 @@
 import { DemandBoard } from "@kumquathall/demand";
 import type { EngineProfile } from "@kumquathall/types";
-import { RebalanceHistory } from "../rebalanceHistory.js";
 import { type ShareSelection, ShareSelector } from "../shareSelector.js";
 
 const INTERVAL_MS = 1000;
@@ -10,7 +9,6 @@
 
 /** Reports of gateways about a demand that changes over time, and the leader's choice of shares by them. */
 export class DemandFeed {
-    rebalances = new RebalanceHistory();
     /** Number of changes of the shares in use. */
     changes = 0;
     private board = new DemandBoard();
@@ -22,7 +20,6 @@
 
     /** Replaces the leader by one whose process has received the same reports, or by one that has received none. */
     resetLeader(hasReports: boolean): void {
-        this.rebalances = new RebalanceHistory();
         this.selector = new ShareSelector();
         this.board = hasReports ? this.board : new DemandBoard();
     }
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -3,6 +3,7 @@
 import { LoadBudget } from "../loadBudget.js";
 import { OrderTracker } from "../orderTracker.js";
 import { planEngineOrders, type PlannedOrder } from "../planOrders.js";
+import { RebalanceHistory } from "../rebalanceHistory.js";
 import type { DemandFeed } from "./demandFeed.js";
 
 interface FleetEngine {
@@ -47,6 +48,7 @@
     readonly acceptedParts = new Map<string, number>();
     /** What gateways report of the demand; without it, the declared shares apply. */
     demand: DemandFeed | undefined;
+    rebalances = new RebalanceHistory();
     /** Domains whose data centre is evacuated. */
     readonly evacuated = new Set<string>();
     readonly orders: PlannedOrder[] = [];
@@ -97,6 +99,7 @@
     /** Replaces the leader by one that does not know its predecessor's orders. */
     resetLeader(): void {
         this.tracker.clear();
+        this.rebalances = new RebalanceHistory();
     }
 
     /** Crashes a member of an open group of a model; returns its id. */
@@ -225,7 +228,7 @@
         const planned = planEngineOrders({
             views,
             profile: shares?.profile ?? this.profile,
-            rebalances: shares?.isMeasured === true ? this.demand?.rebalances : undefined,
+            rebalances: shares?.isMeasured === true || this.evacuated.size > 0 ? this.rebalances : undefined,
             isEvacuated: view => this.evacuated.has(view.dataCentre),
             now: this.now,
             isBeforeTraffic: this.isBeforeTraffic,
