--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -1,6 +1,6 @@
 import { ConsensusError, type ConsensusMessage, ConsensusRuntime } from "@kumquathall/consensus";
 import { ControlDirectory, getMemberAddress } from "@kumquathall/control-directory";
-import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
+import { findColdFault, findCrashFault, findLimitFault, findWantFault } from "@kumquathall/endpoint-registry";
 import { describeError, KumquathallError } from "@kumquathall/errors";
 import {
     createIdentity,
@@ -14,6 +14,7 @@
 import type { InputFaultLog } from "@kumquathall/logger";
 import { LogStore, NodeDisk } from "@kumquathall/storage";
 import type {
+    ColdFact,
     Command,
     CommandResult,
     ControlAnswer,
@@ -53,6 +54,7 @@
     | { kind: "endpointFacts"; facts: EndpointFact[] }
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
     | { kind: "endpointLimits"; facts: LimitFact[] }
+    | { kind: "coldEndpoints"; facts: ColdFact[] }
     /** A gateway has received its first request; sent by the gateway, and by members to which this was reported. */
     | { kind: "trafficSeen" };
 
@@ -352,6 +354,12 @@
             );
             return;
         }
+        if (cast.kind === "coldEndpoints") {
+            this.limitTask?.recordColds(
+                selectUsable({ ...selection, kind: "cold-endpoint", facts: cast.facts, findFault: findColdFault }),
+            );
+            return;
+        }
         const isMember = link.peer?.role === "control" && link.peer.controlGroup === this.identity.controlGroup;
         if (!isMember || link.peer?.id !== cast.from) {
             return;
@@ -424,10 +432,13 @@
 
     private grantPermits(wants: PermitWant[], link: Link): ControlAnswer {
         const writer = link.peer?.id ?? "";
-        const findFault = (want: unknown) =>
-            findLimitFault(want)
-                ?? (Number.isSafeInteger((want as PermitWant).count) ? undefined : "count is not a whole number");
-        const usable = selectUsable({ faults: this.faults, kind: "permit-want", writer, facts: wants, findFault });
+        const usable = selectUsable({
+            faults: this.faults,
+            kind: "permit-want",
+            writer,
+            facts: wants,
+            findFault: findWantFault,
+        });
         return this.limitTask?.grant(writer, usable) ?? this.buildRedirect();
     }
 
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -320,10 +320,14 @@
 
     /** Part of a group's usual work that its head accepts, 0 to 1. */
     private computeAcceptedPart(head: EndpointView, engine: EngineProfile, model: EngineModelProfile): number {
-        const limit = this.options.getNamedLimit?.(`${head.id}@${head.bornMs}`);
+        const limit = this.options.getNamedLimit?.(`${head.id}@${head.bornMs}`) ?? Number.POSITIVE_INFINITY;
+        const { services = [] } = getTraffic(this.options.stateMachine.getState().configuration) ?? {};
+        const isCold = (head.coldUntil ?? 0) > performance.now();
+        const cold = isCold ? services.find(service => service.name === head.service)?.cold : undefined;
+        const perSecond = Math.min(limit, cold?.perSecond ?? Number.POSITIVE_INFINITY);
         const { usualPromptTokens, usualAnswerTokens } = engine;
         const usualMs = estimateServiceMs(engine, model, usualPromptTokens, usualAnswerTokens);
-        return limit === undefined ? 1 : Math.min(1, limit * usualMs / MS_PER_SECOND);
+        return Number.isFinite(perSecond) ? Math.min(1, perSecond * usualMs / MS_PER_SECOND) : 1;
     }
 
     /** Whether every sidecar has had time to link, and a former leader's orders have had time to be reported. */
--- a/packages/control/src/factFilter.feature
+++ b/packages/control/src/factFilter.feature
@@ -21,6 +21,7 @@
             | is a member of a group | 150   | is of another sidecar process | yes       |
             | is a member of a group | 150   | shows another group           | yes       |
             | is in no group         | 150   | differs in load               | no        |
+            | is in no group         | 150   | says that it is cold          | yes       |
 
     Scenario Outline: What other members and gateways get of heartbeats
         Given <endpoint> with a heartbeat <since> ms ago
@@ -34,6 +35,7 @@
             | an engine        | 5000  | is the same                | yes     | no       |
             | an engine        | 1200  | says that it is leaving    | yes     | yes      |
             | an engine        | 1200  | shows another incarnation  | yes     | yes      |
+            | an engine        | 1200  | says that it is cold       | yes     | yes      |
             | a plain endpoint | 1200  | is the same                | yes     | yes      |
 
     # Guards against members that restart together, and of which the one that leads knows no endpoints for seconds.
--- a/packages/control/src/factFilter.steps.ts
+++ b/packages/control/src/factFilter.steps.ts
@@ -43,6 +43,7 @@
     "differs in load": (fact, engine) => ({ ...fact, engine: { ...engine, running: 9, kvUsedTokens: 50 } }),
     "differs in pace": (fact, engine) => ({ ...fact, engine: { ...engine, pace: 4 } }),
     "differs in what its host holds": (fact, engine) => ({ ...fact, engine: { ...engine, staged: ["m", "n"] } }),
+    "says that it is cold": fact => ({ ...fact, coldMs: 2500 }),
     "says that it is lost": fact => ({ ...fact, isReachable: false }),
     "shows another incarnation": fact => ({ ...fact, bornMs: fact.bornMs + 1 }),
     "is of another sidecar process": fact => ({ ...fact, observerStartedMs: fact.observerStartedMs + 1 }),
@@ -54,6 +55,7 @@
 
 const HEARTBEAT_CHANGES: Record<string, (fact: HeartbeatFact) => HeartbeatFact> = {
     "is the same": fact => fact,
+    "says that it is cold": fact => ({ ...fact, coldMs: 2500 }),
     "says that it is leaving": fact => ({ ...fact, isLeaving: true }),
     "shows another incarnation": fact => ({ ...fact, bornMs: fact.bornMs + 1 }),
 };
--- a/packages/control/src/factFilter.ts
+++ b/packages/control/src/factFilter.ts
@@ -70,12 +70,13 @@
     }
 }
 
-/** Whether two observations agree on reachability, incarnation and group state, so that at most the load differs. */
+/** Whether two observations agree on reachability, incarnation, cold and group state, so that at most the load differs. */
 export function hasOnlyLoadChange(left: ObservationFact | undefined, right: ObservationFact): boolean {
     const leftGroup = left?.engine?.group;
     const rightGroup = right.engine?.group;
     return left !== undefined && left.isReachable === right.isReachable && left.bornMs === right.bornMs
-        && left.observerStartedMs === right.observerStartedMs && leftGroup?.name === rightGroup?.name
+        && left.observerStartedMs === right.observerStartedMs && !isColdChanged(left, right)
+        && leftGroup?.name === rightGroup?.name
         && leftGroup?.epoch === rightGroup?.epoch && leftGroup?.rank === rightGroup?.rank
         && leftGroup?.state === rightGroup?.state;
 }
@@ -83,3 +84,8 @@
 function isOpenHead({ engine }: ObservationFact): boolean {
     return engine?.group?.rank === 0 && engine.group.state === EngineGroupState.Open;
 }
+
+/** Whether a cold time has begun, been renewed or ended. */
+function isColdChanged({ coldMs: before = 0 }: ObservationFact, { coldMs = 0 }: ObservationFact): boolean {
+    return coldMs > before || (coldMs === 0 && before > 0);
+}
--- a/packages/control/src/limitTask.ts
+++ b/packages/control/src/limitTask.ts
@@ -1,8 +1,9 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
-import { LimitArbiter } from "@kumquathall/endpoint-limits";
+import { ColdBoard, LimitArbiter } from "@kumquathall/endpoint-limits";
 import type { Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
-import type { Command, CommandResult, ControlAnswer, LimitFact, PermitWant } from "@kumquathall/types";
+import type { ColdFact, Command, CommandResult, ControlAnswer, LimitFact, PermitWant } from "@kumquathall/types";
+import { GatewayContact } from "./gatewayContact.js";
 
 export interface LimitTaskOptions {
     runtime: Pick<ConsensusRuntime<Command, CommandResult>, "getState" | "canServe">;
@@ -22,8 +23,8 @@
 const MAX_FACTS = 512;
 
 /**
- * Collects the limits that endpoints name, as gateways report them. Every member does so and forwards changes to
- * gateways, and the leader grants the permits to send to limited endpoints.
+ * Collects the limits that endpoints name and the cold times that their responses show, as gateways report them. Every
+ * member does so and forwards changes to gateways, and the leader grants the permits to send to limited and cold endpoints.
  */
 export class LimitTask {
     private readonly arbiter = new LimitArbiter();
@@ -31,6 +32,10 @@
     private readonly timer: NodeJS.Timeout;
     /** Endpoints whose limits have changed since the last cast to gateways. */
     private readonly changed = new Set<string>();
+    private readonly colds = new ColdBoard();
+    /** Endpoints whose cold times have changed since the last cast to gateways. */
+    private readonly changedColds = new Set<string>();
+    private readonly contact = new GatewayContact();
     private nextFlushAt = 0;
     private flushTimer: NodeJS.Timeout | undefined;
     /** Term in which permits are granted. */
@@ -38,7 +43,10 @@
 
     constructor(private readonly options: LimitTaskOptions) {
         this.timer = setInterval(
-            () => this.arbiter.removeStale(options.hasEndpoint, performance.now()),
+            () => {
+                this.arbiter.removeStale(options.hasEndpoint, performance.now());
+                this.colds.removeEnded(performance.now());
+            },
             STALE_CHECK_MS,
         );
     }
@@ -58,9 +66,26 @@
         this.scheduleFlush(now);
     }
 
-    /** Sends the known limits to a gateway, and changes from now on. */
+    /** Records which endpoints are cold; changes are forwarded to gateways. */
+    recordColds(facts: ColdFact[]): void {
+        const now = performance.now();
+        const changes = facts.filter(fact => this.colds.record(fact, now));
+        if (changes.length > 0 && this.isRelay()) {
+            changes.forEach(fact => this.changedColds.add(fact.endpoint));
+            this.scheduleFlush(now);
+        }
+    }
+
+    /** Sends the known limits and cold times to a gateway, and changes from now on. */
     watch(link: Link): void {
         this.watchers.add(link);
+        if (link.peer !== undefined) {
+            this.contact.add(link.peer.id);
+        }
+        const colds = this.colds.listFacts(performance.now());
+        for (let at = 0; at < colds.length; at += MAX_FACTS) {
+            link.cast({ kind: "coldEndpoints", facts: colds.slice(at, at + MAX_FACTS) });
+        }
         const facts = this.arbiter.board.listFacts(performance.now());
         for (let at = 0; at < facts.length; at += MAX_FACTS) {
             link.cast({ kind: "endpointLimits", facts: facts.slice(at, at + MAX_FACTS) });
@@ -68,7 +93,9 @@
     }
 
     removeLink(link: Link): void {
-        this.watchers.delete(link);
+        if (this.watchers.delete(link) && link.peer !== undefined) {
+            this.contact.remove(link.peer.id, performance.now());
+        }
     }
 
     /** Grants permits if this member leads. */
@@ -83,7 +110,9 @@
             this.term = term;
             this.arbiter.clear();
         }
-        return { kind: "permits", grants: this.arbiter.grant(gateway, wants, performance.now()) };
+        const now = performance.now();
+        const part = this.contact.computeLinkedPart(now);
+        return { kind: "permits", grants: this.arbiter.grant(gateway, wants, now, part) };
     }
 
     /** Requests a second that an endpoint accepts, as it named last; `undefined` if its requests are not limited. */
@@ -103,12 +132,16 @@
     private flush(): void {
         this.flushTimer = undefined;
         const now = performance.now();
-        const endpoints = [...this.changed].slice(0, MAX_CHANGES);
-        endpoints.forEach(endpoint => this.changed.delete(endpoint));
-        const facts = endpoints.flatMap(endpoint => this.arbiter.board.findFact(endpoint, now) ?? []);
-        this.watchers.forEach(link => link.cast({ kind: "endpointLimits", facts }));
-        this.nextFlushAt = now + endpoints.length * PACE_MS;
-        if (this.changed.size > 0) {
+        const colds = takeSome(this.changedColds).flatMap(endpoint => this.colds.findFact(endpoint, now) ?? []);
+        const facts = takeSome(this.changed).flatMap(endpoint => this.arbiter.board.findFact(endpoint, now) ?? []);
+        if (colds.length > 0) {
+            this.watchers.forEach(link => link.cast({ kind: "coldEndpoints", facts: colds }));
+        }
+        if (facts.length > 0) {
+            this.watchers.forEach(link => link.cast({ kind: "endpointLimits", facts }));
+        }
+        this.nextFlushAt = now + (colds.length + facts.length) * PACE_MS;
+        if (this.changed.size + this.changedColds.size > 0) {
             this.scheduleFlush(now);
         }
     }
@@ -119,3 +152,10 @@
         return leaderId === undefined || leaderId === id;
     }
 }
+
+/** Takes up to {@link MAX_CHANGES} endpoints out of a set. */
+function takeSome(endpoints: Set<string>): string[] {
+    const taken = [...endpoints].slice(0, MAX_CHANGES);
+    taken.forEach(endpoint => endpoints.delete(endpoint));
+    return taken;
+}
--- a/packages/control/src/membership.steps.ts
+++ b/packages/control/src/membership.steps.ts
@@ -59,6 +59,7 @@
             hasProcessEnded: false,
             engine: undefined,
             lastSeenAt: now,
+            heartbeatAt: now,
             engineReportedAt: now,
             isObserved: at < linked,
             lastGroupName: undefined,
--- a/packages/endpoint-limits/src/limitBoard.feature
+++ b/packages/endpoint-limits/src/limitBoard.feature
@@ -49,3 +49,24 @@
         And a gateway that wants 5 permits at 1500 ms gets 1
         And another gateway that wants 5 permits at 1500 ms gets 0 and is told to return after 2500 to 5500 ms
         And a gateway that wants 5 permits at 60000 ms gets 1
+
+    # Guards against permits that are held until they come together, or on top of what was sent before the cold time was known.
+    Scenario: Permits for a cold endpoint come at its rate, are valid for a short time, and leave room for what was sent before
+        Then a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1000 ms gets 0
+        And a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1100 ms gets 3
+        And a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 9000 ms gets 3
+        And the permits of a cold endpoint are valid for 200 ms
+        When a gateway has sent 45 requests to a cold endpoint before 9000 ms
+        Then a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 9500 ms gets 0
+        And a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 10300 ms gets 3
+
+    Scenario: The smaller of the cold rate and a limit that the endpoint names applies
+        When a response names the limit 10 at 1000 ms
+        Then a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1000 ms gets 0
+        And a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1110 ms gets 1
+
+    # Guards against a leader that grants the whole rate while gateways without contact use shares of it.
+    Scenario: While half of the gateways are linked, half of the cold rate is granted
+        Given a part of 0.5 of the gateways is linked
+        Then a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1000 ms gets 0
+        And a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1100 ms gets 1
--- a/packages/endpoint-limits/src/limitBoard.steps.ts
+++ b/packages/endpoint-limits/src/limitBoard.steps.ts
@@ -1,13 +1,19 @@
-import { Before, Then, When } from "@cucumber/cucumber";
+import { Before, Given, Then, When } from "@cucumber/cucumber";
 import type { LimitFact, PermitGrant } from "@kumquathall/types";
 import { ok, strictEqual } from "node:assert";
 import { LimitArbiter } from "./limitArbiter.js";
 
 const ENDPOINT = "e@1";
+const DAY_MS = 24 * 60 * 60 * 1000;
+const COLD_RATE = 32;
+/** Most requests to a cold endpoint in any second that the leader counts on. */
+const GRANTED_IN_SECOND = 47;
 
 let arbiter: LimitArbiter;
 /** Time at which the last fact is recorded, in milliseconds. */
 let recordedAt = 0;
+/** Part of the gateways that are linked. */
+let part = 1;
 
 function buildFact(perSecond: number | undefined, at: number): LimitFact {
     recordedAt = Math.max(recordedAt, at);
@@ -25,7 +31,14 @@
     return arbiter.grant(gateway, [{ ...fact, count }], at)[0];
 }
 
+function grantCold(count: number, perSecond: number, sent: number, at: number): PermitGrant {
+    const cold = { perSecond, maxInSecond: GRANTED_IN_SECOND, sent };
+    const want = { endpoint: ENDPOINT, perSecond: undefined, ageMs: DAY_MS, count, cold };
+    return arbiter.grant("g", [want], at, part)[0];
+}
+
 Before({ tags: "@limit-board" }, () => {
+    part = 1;
     arbiter = new LimitArbiter();
     recordedAt = 0;
 });
@@ -66,3 +79,22 @@
         ok(granted.retryAfterMs >= least && granted.retryAfterMs <= most, `${granted.retryAfterMs} ms`);
     },
 );
+
+Given("a part of {float} of the gateways is linked", (linked: number) => {
+    part = linked;
+});
+
+When("a gateway has sent {int} requests to a cold endpoint before {int} ms", (sent: number, at: number) => {
+    grantCold(0, COLD_RATE, sent, at);
+});
+
+Then(
+    "a gateway that wants {int} permits of a cold endpoint with a rate of {int} at {int} ms gets {int}",
+    (count: number, perSecond: number, at: number, expected: number) => {
+        strictEqual(grantCold(count, perSecond, 0, at).count, expected);
+    },
+);
+
+Then("the permits of a cold endpoint are valid for {int} ms", (validMs: number) => {
+    strictEqual(grantCold(0, COLD_RATE, 0, 0).validMs, validMs);
+});
--- a/packages/endpoint-registry/src/endpointRegistry.feature
+++ b/packages/endpoint-registry/src/endpointRegistry.feature
@@ -129,3 +129,16 @@
         Given a registry of at most 100 endpoints
         When 1000 departures of new ids arrive within 5 s
         Then 100 facts are known
+
+    # Guards against a late heartbeat that ends a cold time, and against one source that hides what the other says.
+    Scenario: An endpoint is cold until the latest time that its newest heartbeat or observation names
+        Given endpoint "a" started at 100 sends a heartbeat with sequence 2 and a cold time of 2000 ms at 1000 ms
+        Then endpoint "a" is cold until 3000 ms
+        When endpoint "a" started at 100 sends a heartbeat with sequence 1 and a cold time of 0 ms at 1100 ms
+        Then endpoint "a" is cold until 3000 ms
+        When the sidecar observes a cold time of 2500 ms of endpoint "a" started at 100 at 1200 ms
+        Then endpoint "a" is cold until 3700 ms
+        When endpoint "a" started at 100 sends a heartbeat with sequence 3 and a cold time of 0 ms at 2200 ms
+        Then endpoint "a" is cold until 3700 ms
+        When endpoint "a" started at 200 sends a heartbeat with sequence 1 and a cold time of 0 ms at 2300 ms
+        Then endpoint "a" is cold until 0 ms
--- a/packages/endpoint-registry/src/endpointRegistry.steps.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.steps.ts
@@ -250,3 +250,22 @@
 Then("the {int} ids that made room are reported as forgotten", (count: number) => {
     strictEqual(getRegistry().expire(0).length, count);
 });
+
+When(
+    "endpoint {string} started at {int} sends a heartbeat with sequence {int} and a cold time of {int} ms at {int} ms",
+    (id: string, bornMs: number, sequence: number, coldMs: number, now: number) => {
+        const fact = buildHeartbeat(id, bornMs, "h:1", sequence, false);
+        getRegistry().record({ ...fact, ...(coldMs === 0 ? {} : { coldMs }) }, now);
+    },
+);
+
+When(
+    "the sidecar observes a cold time of {int} ms of endpoint {string} started at {int} at {int} ms",
+    (coldMs: number, _id: string, bornMs: number, now: number) => {
+        getRegistry().record({ ...buildObservation("h:1", bornMs, true, 1), coldMs }, now);
+    },
+);
+
+Then("endpoint {string} is cold until {int} ms", (id: string, until: number) => {
+    strictEqual(getView(id)?.coldUntil ?? 0, until);
+});
--- a/packages/endpoint-registry/src/endpointRegistry.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.ts
@@ -48,6 +48,10 @@
     engine: EngineStatus | undefined;
     /** Local monotonic time of the newest fact that shows the endpoint alive. */
     lastSeenAt: number;
+    /** Local monotonic time at which the newest heartbeat was received. */
+    heartbeatAt: number;
+    /** Local monotonic time until which the newest reports say that the endpoint is cold; not set if none has. */
+    coldUntil?: number;
     /** Local monotonic time at which the engine state was received. */
     engineReportedAt: number;
     /** A sidecar reports observations of this incarnation. */
@@ -262,11 +266,12 @@
         if (known === undefined || isTakenChanged || !isSameAnnouncement(known, { ...fact, isLeaving })) {
             return FactEffect.State;
         }
+        const coldEffect = compareColdTimes(known.coldMs, fact.coldMs);
         // Once a sidecar has observed the engine, its state is known from there.
         const observed = this.observations.get(fact.address)?.fact;
         return observed?.bornMs === fact.bornMs && observed.engine !== undefined
-            ? FactEffect.Refresh
-            : compareEngines(known.engine, fact.engine);
+            ? coldEffect
+            : chooseLarger(coldEffect, compareEngines(known.engine, fact.engine));
     }
 
     /**
@@ -389,6 +394,8 @@
             hasProcessEnded: isUnreachable || (isReplaced && isSameObserver),
             engine: isSameIncarnation && observation.fact.engine !== undefined ? observation.fact.engine : fact.engine,
             lastSeenAt: Math.max(at, isObservedAlive ? observation.at : 0),
+            heartbeatAt: at,
+            coldUntil: findColdEnd([item, ...(isSameIncarnation ? [observation] : [])]),
             engineReportedAt: hasObservedEngine ? observation.at : at,
             isObserved: isSameIncarnation,
             lastGroupName: isSameIncarnation ? observation.lastGroupName : undefined,
@@ -417,7 +424,28 @@
 function compareObservations(known: ObservationFact | undefined, fact: ObservationFact): FactEffectValue {
     const isSame = known !== undefined && known.bornMs === fact.bornMs && known.isReachable === fact.isReachable
         && known.observerStartedMs === fact.observerStartedMs;
-    return isSame ? compareEngines(known.engine, fact.engine) : FactEffect.State;
+    return isSame
+        ? chooseLarger(compareColdTimes(known.coldMs, fact.coldMs), compareEngines(known.engine, fact.engine))
+        : FactEffect.State;
+}
+
+/** A cold time that begins, is renewed or ends changes what the endpoint may be sent; one that runs down is load. */
+function compareColdTimes(known = 0, coldMs = 0): FactEffectValue {
+    if (coldMs > known || (coldMs === 0 && known > 0)) {
+        return FactEffect.State;
+    }
+    return coldMs > 0 ? FactEffect.Load : FactEffect.Refresh;
+}
+
+function chooseLarger(left: FactEffectValue, right: FactEffectValue): FactEffectValue {
+    const effects = Object.values(FactEffect);
+    return effects.indexOf(left) > effects.indexOf(right) ? left : right;
+}
+
+/** Finds the end of the cold time that the newest reports name, in local monotonic milliseconds. */
+function findColdEnd(reports: Timed<{ coldMs?: number }>[]): number | undefined {
+    const ends = reports.flatMap(({ at, fact: { coldMs = 0 } }) => coldMs > 0 ? [at + coldMs] : []);
+    return ends.length === 0 ? undefined : Math.max(...ends);
 }
 
 function compareEngines(known: EngineStatus | undefined, engine: EngineStatus | undefined): FactEffectValue {
--- a/packages/endpoint-registry/src/findFactFault.ts
+++ b/packages/endpoint-registry/src/findFactFault.ts
@@ -13,6 +13,8 @@
     MaxRank: 65_535,
     /** Factor by which an engine is slower than its profile. */
     MaxPace: 1e6,
+    /** Longest time for which an endpoint can be cold, in milliseconds; a longer one is a mistake. */
+    MaxColdMs: 600_000,
     /** Year 2100, in Unix milliseconds: a time in smaller units lies beyond. */
     MaxTimeMs: Date.UTC(2100),
 } as const;
@@ -95,7 +97,8 @@
         ?? findFlagFault("isLeaving", fact.isLeaving)
         ?? findTimeFault("bornMs", fact.bornMs)
         ?? findSequenceFault("sequence", fact.sequence)
-        ?? findEngineFault(fact.engine, true);
+        ?? findEngineFault(fact.engine, true)
+        ?? findColdTimeFault(fact.coldMs);
 }
 
 function findObservationFault(fact: Record<string, unknown>): string | undefined {
@@ -104,7 +107,12 @@
         ?? findSequenceFault("number", fact.number)
         ?? findFlagFault("isReachable", fact.isReachable)
         ?? findTimeFault("bornMs", fact.bornMs)
-        ?? findEngineFault(fact.engine, false);
+        ?? findEngineFault(fact.engine, false)
+        ?? findColdTimeFault(fact.coldMs);
+}
+
+function findColdTimeFault(value: unknown): string | undefined {
+    return value === undefined ? undefined : findRangeFault("coldMs", value, FactLimits.MaxColdMs, Number.isFinite);
 }
 
 /** Heartbeats carry no order sequence (NaN). */
--- a/packages/endpoint-registry/src/findReportFault.ts
+++ b/packages/endpoint-registry/src/findReportFault.ts
@@ -20,6 +20,33 @@
         ?? findAgeFault(value.ageMs);
 }
 
+/** Returns what makes a report about a cold endpoint unusable; `undefined` if it can be used. */
+export function findColdFault(value: unknown): string | undefined {
+    if (!isRecord(value)) {
+        return "the report is not an object";
+    }
+    const { coldMs } = value;
+    const isTime = typeof coldMs === "number" && coldMs >= 0 && coldMs <= FactLimits.MaxColdMs;
+    return findKeyFault("endpoint", value.endpoint)
+        ?? (isTime ? undefined : "coldMs is not a time")
+        ?? findAgeFault(value.ageMs);
+}
+
+/** Returns what makes a want of permits unusable; `undefined` if it can be used. */
+export function findWantFault(value: unknown): string | undefined {
+    const fault = findLimitFault(value);
+    if (fault !== undefined || !isRecord(value)) {
+        return fault;
+    }
+    const { count, cold } = value;
+    if (!Number.isSafeInteger(count)) {
+        return "count is not a whole number";
+    }
+    const isCold = isRecord(cold) && isRate(cold.perSecond) && cold.perSecond !== 0 && isRate(cold.maxInSecond)
+        && isRate(cold.sent);
+    return cold === undefined || isCold ? undefined : "cold has no rate above 0, bound and number of requests";
+}
+
 /** Returns what makes a report about a crash or a survival unusable; `undefined` if it can be used. */
 export function findCrashFault(value: unknown): string | undefined {
     if (!isRecord(value)) {
--- a/packages/endpoint-registry/src/index.ts
+++ b/packages/endpoint-registry/src/index.ts
@@ -14,5 +14,5 @@
     isFactName,
     isSocketAddress,
 } from "./findFactFault.js";
-export { findCrashFault, findLimitFault } from "./findReportFault.js";
+export { findColdFault, findCrashFault, findLimitFault, findWantFault } from "./findReportFault.js";
 export { pickFact } from "./pickFact.js";
--- a/packages/endpoint-registry/src/pickFact.ts
+++ b/packages/endpoint-registry/src/pickFact.ts
@@ -17,6 +17,7 @@
                 bornMs: fact.bornMs,
                 sequence: fact.sequence,
                 engine: pickEngine(fact.engine),
+                ...pickCold(fact),
             };
         case "observation":
             return {
@@ -27,10 +28,15 @@
                 isReachable: fact.isReachable,
                 bornMs: fact.bornMs,
                 engine: pickEngine(fact.engine),
+                ...pickCold(fact),
             };
     }
 }
 
+function pickCold({ coldMs }: { coldMs?: number }): { coldMs?: number } {
+    return coldMs === undefined ? {} : { coldMs };
+}
+
 function pickEngine(engine: EngineStatus | undefined): EngineStatus | undefined {
     return engine === undefined ? undefined : {
         orderSequence: engine.orderSequence,
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -178,6 +178,7 @@
                 hasProcessEnded: false,
                 isObserved: true,
                 lastGroupName: undefined,
+                heartbeatAt: 0,
                 lastSeenAt: this.now,
                 engineReportedAt: this.now,
                 engine: {
--- a/packages/gateway/src/acceptResponse.steps.ts
+++ b/packages/gateway/src/acceptResponse.steps.ts
@@ -23,6 +23,7 @@
             isEncoded: fields.includes("encoding"),
             load: undefined,
             limit: undefined,
+            coldMs: undefined,
             isLeaving: false,
             pauseMs: undefined,
         };
--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -102,7 +102,10 @@
     private choosePlain({ permitted, limited }: EndpointsByPermit, times: EndpointChoiceTimes): EndpointChoice {
         const { now } = times;
         const choice = buildChoice({
-            endpoint: chooseLeastLoadedEndpoint(permitted, now),
+            endpoint: this.chooseBelowColdShare(permitted, now, endpoints => {
+                const endpoint = chooseLeastLoadedEndpoint(endpoints, now);
+                return { endpoint, isOnTime: endpoint !== undefined && endpoint.inFlight.size < endpoint.view.slots };
+            }).endpoint,
             candidates: permitted.length + limited.length,
             limited: limited.length,
         });
@@ -125,7 +128,11 @@
         { permitted, limited }: EndpointsByPermit,
         times: EndpointChoiceTimes,
     ): EndpointChoice {
-        const choice = this.chooseGroup(engine, model, permitted, times);
+        const choice = this.chooseBelowColdShare(
+            permitted,
+            times.now,
+            endpoints => this.chooseGroup(engine, model, endpoints, times),
+        );
         choice.candidates = permitted.length + limited.length;
         choice.limited = limited.length;
         if (limited.length === 0) {
@@ -151,6 +158,27 @@
         return split;
     }
 
+    /**
+     * Chooses among the endpoints to which this gateway has sent less than its share of what they may receive if they become
+     * cold unnoticed, or the least; among all if none of those serves the request in time.
+     */
+    private chooseBelowColdShare<Choice extends Pick<EndpointChoice, "endpoint" | "isOnTime">>(
+        endpoints: TrackedEndpoint[],
+        now: number,
+        choose: (endpoints: TrackedEndpoint[]) => Choice,
+    ): Choice {
+        const counts = endpoints.map(endpoint => this.options.limits.countAboveColdShare(endpoint.key, now));
+        const fewest = counts.reduce((least, count) => Math.min(least, count), Number.POSITIVE_INFINITY);
+        const preferred = endpoints.filter((_, at) => counts[at] === fewest);
+        if (preferred.length < endpoints.length) {
+            const choice = choose(preferred);
+            if (choice.endpoint !== undefined && choice.isOnTime) {
+                return choice;
+            }
+        }
+        return choose(endpoints);
+    }
+
     private chooseGroup(
         engine: EngineProfile,
         model: EngineModelProfile,
--- a/packages/gateway/src/endpointLimits.ts
+++ b/packages/gateway/src/endpointLimits.ts
@@ -2,6 +2,7 @@
 import { describeError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
 import type { LimitFact, NamedLimit, PermitGrant, PermitWant } from "@kumquathall/types";
+import type { ColdEndpoints, ColdRate } from "./coldEndpoints.js";
 import { PermitStock } from "./permitStock.js";
 
 /** What a valid response shows of its endpoint's limit. */
@@ -21,6 +22,8 @@
     takePermits: (wants: PermitWant[]) => Promise<PermitGrant[]>;
     /** Counts the gateways that share the limits. */
     countGateways: () => number;
+    /** The endpoints that are cold; none if not set. */
+    cold?: ColdEndpoints;
     /** Random number in [0, 1). */
     random?: () => number;
 }
@@ -39,6 +42,8 @@
 const WANTS_PER_INTERVAL = 10;
 /** Endpoints in one call; those that most requests want come first. */
 const MAX_WANTS = 64;
+/** Age of a limit of which the gateway knows nothing: it says nothing of any that control knows, in milliseconds. */
+const UNKNOWN_AGE_MS = 24 * 60 * 60 * 1000;
 /** Interval between calls while no leader answers, in milliseconds. */
 const DETACHED_CALL_INTERVAL_MS = 250;
 
@@ -102,23 +107,49 @@
 
     /** Whether a request may be sent to an endpoint now. */
     hasPermit(endpoint: string, now: number): boolean {
-        const limit = this.board.get(endpoint, now);
+        const limit = this.findLimit(endpoint, now);
         if (limit === undefined) {
             return true;
         }
         const stock = this.getOrCreateStock(endpoint);
-        if (this.isDetached) {
-            const { countGateways, random = Math.random } = this.options;
-            stock.advanceShare(limit.perSecond / Math.max(1, countGateways()), random(), now);
+        if (this.isDetached || limit.cold?.isKnown === false) {
+            const { countGateways, random = Math.random, cold } = this.options;
+            const gateways = limit.cold === undefined ? countGateways() : cold?.countGateways(now) ?? 1;
+            stock.advanceShare(limit.perSecond / Math.max(1, gateways), random(), now);
         }
         return stock.has(now);
     }
 
     /** Uses a permit for a request that is sent. */
     takePermit(endpoint: string, now: number): void {
-        if (this.board.get(endpoint, now) !== undefined) {
+        if (this.findLimit(endpoint, now) !== undefined) {
             this.getOrCreateStock(endpoint).take(now);
         }
+        else {
+            this.options.cold?.recordSend(endpoint, now);
+        }
+    }
+
+    /** Counts what was lately sent to an endpoint beyond this gateway's share, in case it becomes cold unnoticed. */
+    countAboveColdShare(endpoint: string, now: number): number {
+        return this.options.cold?.countAboveShare(endpoint, now) ?? 0;
+    }
+
+    /**
+     * Records that a response says that its endpoint stays cold for `coldMs`; other gateways are informed through control.
+     */
+    recordCold(endpoint: string, coldMs: number, now: number): void {
+        this.options.cold?.recordResponse(endpoint, coldMs, now);
+    }
+
+    /** Drops the permits of an endpoint that has become cold, and informs control of what was sent to it before. */
+    restartPermits(endpoint: string, now: number): void {
+        const stock = this.getOrCreateStock(endpoint);
+        stock.clear();
+        if (this.options.cold?.hasUnreported(endpoint, now) === true) {
+            this.wanted.set(endpoint, stock);
+            this.scheduleCall(now);
+        }
     }
 
     /**
@@ -158,7 +189,7 @@
     removeStale(hasEndpoint: (endpoint: string) => boolean, now: number): void {
         this.board.removeStale(hasEndpoint, now);
         for (const endpoint of this.stocks.keys()) {
-            if (this.board.get(endpoint, now) === undefined) {
+            if (this.findLimit(endpoint, now) === undefined) {
                 this.stocks.delete(endpoint);
                 this.wanted.delete(endpoint);
             }
@@ -171,6 +202,14 @@
         this.waiting.clear();
     }
 
+    /** Finds the smaller of the limits that an endpoint names and that it has because it is cold. */
+    private findLimit(endpoint: string, now: number): { perSecond: number; cold: ColdRate | undefined } | undefined {
+        const named = this.board.get(endpoint, now)?.perSecond ?? Number.POSITIVE_INFINITY;
+        const cold = this.options.cold?.findRate(endpoint, now);
+        const perSecond = Math.min(named, cold?.perSecond ?? Number.POSITIVE_INFINITY);
+        return Number.isFinite(perSecond) ? { perSecond, cold } : undefined;
+    }
+
     private recordOwn(fact: LimitFact, now: number): void {
         if (!this.board.record(fact, now)) {
             return;
@@ -240,12 +279,13 @@
         if (wants.length === 0) {
             return;
         }
-        this.lastCallAt = performance.now();
+        const calledAt = performance.now();
+        this.lastCallAt = calledAt;
         this.lastWants = wants.length;
         this.isCalling = true;
         try {
             const grants = await this.options.takePermits(wants);
-            this.applyGrants(grants, performance.now());
+            this.applyGrants(grants, calledAt, performance.now());
         }
         catch (error) {
             if (!this.isDetached) {
@@ -259,27 +299,40 @@
         this.waiting.clear();
         waiting.forEach(wake => wake());
         const now = performance.now();
-        if ([...this.wanted.values()].some(stock => stock.isCallDue(now))) {
+        if ([...this.wanted].some(([endpoint, stock]) => this.mustCall(endpoint, stock, now))) {
             this.scheduleCall(now);
         }
     }
 
-    private applyGrants(grants: PermitGrant[], now: number): void {
+    private applyGrants(grants: PermitGrant[], calledAt: number, now: number): void {
         if (this.isDetached) {
             this.isDetached = false;
             this.stocks.forEach(stock => stock.clearShare());
         }
-        grants.forEach(grant => this.getOrCreateStock(grant.endpoint).apply(grant, now));
+        grants.forEach(grant => this.getOrCreateStock(grant.endpoint).apply(grant, calledAt, now));
+    }
+
+    /** Whether control may have a permit that some request wants, or has to be told of requests without one. */
+    private mustCall(endpoint: string, stock: PermitStock, now: number): boolean {
+        const { cold } = this.options;
+        const isReportDue = cold?.hasUnreported(endpoint, now) === true
+            && cold.findRate(endpoint, now)?.isKnown === true;
+        return isReportDue || stock.isCallDue(now);
     }
 
     /** Collects what requests have wanted since the last call. */
     private collectWants(now: number): PermitWant[] {
-        const due = [...this.wanted].filter(([, stock]) => stock.isCallDue(now))
+        const due = [...this.wanted].filter(([endpoint, stock]) => this.mustCall(endpoint, stock, now))
             .sort(([, left], [, right]) => right.wantedCount - left.wantedCount)
             .slice(0, MAX_WANTS);
         return due.flatMap(([endpoint, stock]) => {
             this.wanted.delete(endpoint);
             const fact = this.board.findFact(endpoint, now);
+            const cold = this.options.cold?.buildWant(endpoint, now);
+            if (cold !== undefined) {
+                const unknown = { endpoint, perSecond: undefined, ageMs: UNKNOWN_AGE_MS };
+                return [{ ...(fact ?? unknown), count: stock.collectWants(), cold }];
+            }
             return fact === undefined ? [] : [{ ...fact, count: stock.collectWants() }];
         });
     }
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -263,6 +263,19 @@
         }
     }
 
+    /** Finds an incarnation, as its id and start time. */
+    findView(key: string): EndpointView | undefined {
+        return this.views.get(key);
+    }
+
+    /** Takes back the requests of which an endpoint has received nothing; they go elsewhere. */
+    takeBackUnwritten(key: string): void {
+        const endpoint = this.endpoints.get(key);
+        if (endpoint !== undefined) {
+            closeToNew(endpoint);
+        }
+    }
+
     /** Number of endpoints that have asked this gateway to send nothing now. */
     countPaused(now: number): number {
         return [...this.endpoints.values()].filter(endpoint => endpoint.pause.isPaused(now)).length;
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,6 +1,6 @@
 import { attachPacer, ChunkPacer } from "@kumquathall/byte-collector";
 import { ControlDirectory } from "@kumquathall/control-directory";
-import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
+import { findColdFault, findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
 import { describeError } from "@kumquathall/errors";
 import {
     createIdentity,
@@ -13,10 +13,12 @@
 import { type Link, parseAddress } from "@kumquathall/link";
 import type { InputFaultLog } from "@kumquathall/logger";
 import type {
+    ColdFact,
     ConfigurationUpdate,
     ControlAnswer,
     CrashEvidenceFact,
     EndpointFact,
+    HeartbeatFact,
     LimitFact,
     PermitGrant,
     PermitWant,
@@ -24,6 +26,7 @@
 } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { CallerConnections, CloseReason } from "./callerConnections.js";
+import { type ColdBounds, ColdEndpoints } from "./coldEndpoints.js";
 import { CrashReporter } from "./crashReporter.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import { EndpointTracker } from "./endpointTracker.js";
@@ -51,13 +54,16 @@
      * `slack`.
      */
     retryBudget: { ratio: number; slack: number; windowMs: number };
+    /** Bounds on what a cold endpoint may receive; 1.5 times its rate and 5 requests if not set. */
+    coldBounds?: ColdBounds;
 }
 
 type ControlCast =
     | RevisionCast
     | { kind: "endpointFacts"; facts: EndpointFact[] }
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
-    | { kind: "endpointLimits"; facts: LimitFact[] };
+    | { kind: "endpointLimits"; facts: LimitFact[] }
+    | { kind: "coldEndpoints"; facts: ColdFact[] };
 
 const STALE_CHECK_MS = 5000;
 /** Largest header block that is parsed, in bytes. */
@@ -74,7 +80,10 @@
     private readonly quarantine: QuarantineList;
     private readonly crashReporter: CrashReporter;
     private readonly tracker: EndpointTracker;
+    private readonly cold: ColdEndpoints;
     private readonly limits: EndpointLimits;
+    /** Links of control members that have sent what they know of the endpoints. */
+    private readonly informed = new Set<Link>();
     private readonly forwarder: Forwarder;
     private readonly server: Server;
     private readonly connections: CallerConnections;
@@ -96,6 +105,7 @@
         this.faults = faults;
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
+            countCold: () => this.cold.count(),
             countPaused: () => this.tracker.countPaused(performance.now()),
             countHeldBytes: () => this.forwarder.countHeldBytes(),
         });
@@ -117,6 +127,16 @@
             onCrash: crash => this.crashReporter.reportCrash(crash, performance.now()),
             onLeaving: fact => this.directory.castAll({ kind: "endpointFacts", facts: [fact] }),
         });
+        this.cold = new ColdEndpoints({
+            logger,
+            findView: key => this.tracker.findView(key),
+            getService: name => this.reader.getTable()?.getService(name),
+            hasContact: () => this.informed.size > 0,
+            countGateways: () => this.directory.countGateways(),
+            sendAll: facts => this.directory.castAll({ kind: "coldEndpoints", facts }),
+            onCold: key => this.handleCold(key),
+            bounds: settings.coldBounds,
+        });
         const permits = new PermitClient(() => this.directory.listLinks());
         this.limits = new EndpointLimits({
             logger,
@@ -127,6 +147,7 @@
                 return grants;
             },
             countGateways: () => this.directory.countGateways(),
+            cold: this.cold,
         });
         this.server = createServer(
             { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 60_000, requestTimeout: 0 },
@@ -169,7 +190,10 @@
             seeds: settings.seeds,
             handlers: {
                 onOpen: link => this.attachLink(link),
-                onClose: link => this.reader.removeLink(link),
+                onClose: link => {
+                    this.informed.delete(link);
+                    this.reader.removeLink(link);
+                },
                 onCast: (message, link) => this.handleCast(message as ControlCast, link),
                 onFault: createLinkFaultHandler(faults),
             },
@@ -213,6 +237,7 @@
         this.directory.close();
         this.tracker.close();
         this.limits.close();
+        this.cold.close();
         clearInterval(this.staleTimer);
         this.connections.closeAll(CloseReason.StopEnded);
         this.server.close();
@@ -224,6 +249,7 @@
 
     private removeStale(): void {
         this.limits.removeStale(key => this.tracker.hasEndpoint(key), performance.now());
+        this.cold.removeStale(performance.now());
         this.tracker.removeStale();
     }
 
@@ -293,17 +319,41 @@
 
     private recordFacts(answer: ControlAnswer, link: Link): void {
         if (answer.kind === "endpoints") {
-            this.tracker.record(answer.facts, performance.now(), link.peer?.id);
+            this.recordEndpoints(answer.facts, link);
+            this.informed.add(link);
+        }
+    }
+
+    private recordEndpoints(facts: EndpointFact[], link: Link): void {
+        const now = performance.now();
+        this.tracker.record(facts, now, link.peer?.id);
+        for (const fact of facts) {
+            if (isColdHeartbeat(fact)) {
+                this.cold.check(`${fact.id}@${fact.bornMs}`, now);
+            }
         }
     }
 
+    /** Requests that wait for a connection to an endpoint that has become cold go elsewhere. */
+    private handleCold(key: string): void {
+        this.limits.restartPermits(key, performance.now());
+        // Later, as the endpoint may be found to be cold while another request chooses.
+        queueMicrotask(() => this.tracker.takeBackUnwritten(key));
+    }
+
     private handleCast(message: ControlCast, link: Link): void {
         const selection = { faults: this.faults, writer: link.peer?.id ?? "" };
         if (message.kind === "revision") {
             this.reader.recordRevision(link, message.revision);
         }
         else if (message.kind === "endpointFacts") {
-            this.tracker.record(message.facts, performance.now(), link.peer?.id);
+            this.recordEndpoints(message.facts, link);
+        }
+        else if (message.kind === "coldEndpoints") {
+            this.cold.record(
+                selectUsable({ ...selection, kind: "cold-endpoint", facts: message.facts, findFault: findColdFault }),
+                performance.now(),
+            );
         }
         else if (message.kind === "endpointLimits") {
             this.limits.record(
@@ -324,6 +374,11 @@
     }
 }
 
+/** Also called with facts that can't be used, which may be no objects. */
+function isColdHeartbeat(fact: EndpointFact | null): fact is HeartbeatFact {
+    return fact?.kind === "heartbeat" && fact.coldMs !== undefined;
+}
+
 async function listen(server: Server, address: string): Promise<void> {
     const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
--- a/packages/gateway/src/httpHeaderCodec.ts
+++ b/packages/gateway/src/httpHeaderCodec.ts
@@ -42,6 +42,8 @@
     load: { running: number; waiting: number; slots: number } | undefined;
     /** Requests a second that the endpoint accepts from all gateways together, if the response names a limit. */
     limit: NamedLimit | undefined;
+    /** Time for which the endpoint stays cold, in milliseconds, if the response says so. */
+    coldMs: number | undefined;
     /** The endpoint's incarnation is leaving. */
     isLeaving: boolean;
     /** Time for which the endpoint wants nothing from this gateway, in milliseconds. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,13 @@
     type ReplicaGroupChoice,
     type ReplicaGroupChoiceInput,
 } from "./chooseReplicaGroup.js";
+export {
+    type ColdBounds,
+    ColdEndpoints,
+    type ColdEndpointsOptions,
+    type ColdView,
+    DEFAULT_COLD_BOUNDS,
+} from "./coldEndpoints.js";
 export { CrashReporter, type EndpointCrash } from "./crashReporter.js";
 export { EndpointLimits, type EndpointLimitsOptions, type LimitResponse } from "./endpointLimits.js";
 export { EndpointTracker, type EndpointTrackerOptions, type TrackedEndpoint } from "./endpointTracker.js";
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,8 @@
 export interface GatewayMetricsOptions {
     /** Counts the endpoints whose requests are limited. */
     countLimited: () => number;
+    /** Counts the endpoints that are cold. */
+    countCold?: () => number;
     /** Counts the endpoints that have asked to be sent nothing now. */
     countPaused: () => number;
     /** Counts the bytes that are held for peers, by what they are. */
@@ -39,6 +41,15 @@
             this.set(options.countLimited());
         },
     });
+    new Gauge({
+        name: "kumquathall_gateway_cold_endpoints",
+        help:
+            "Endpoints that have started or become cold, and get only the requests that their service declares for that",
+        registers,
+        collect() {
+            this.set(options.countCold?.() ?? 0);
+        },
+    });
     new Gauge({
         name: "kumquathall_gateway_paused_endpoints",
         help: "Endpoints that have rejected a request and asked this gateway to send nothing for a time",
--- a/packages/gateway/src/permitStock.ts
+++ b/packages/gateway/src/permitStock.ts
@@ -4,11 +4,11 @@
 
 /** One gateway's permits to send to one limited endpoint. Times are monotonic milliseconds. */
 export class PermitStock {
-    private count = 0;
+    /** Permits by the times at which they expire, the earliest first. */
+    private granted: { count: number; expiresAt: number }[] = [];
     /** Permits that requests have wanted since the last call, and from when on they are counted. */
     private wanted = 0;
     private wantedSince = 0;
-    private expiresAt = 0;
     /** Time from which control may have the next permit. */
     private nextAt = 0;
     /** Time at which a request that is refused now can expect one. */
@@ -37,22 +37,25 @@
     }
 
     has(now: number): boolean {
-        return (this.count > 0 && now < this.expiresAt) || (this.share !== undefined && this.share.permits >= 1);
+        return this.findValid(now) !== undefined || (this.share !== undefined && this.share.permits >= 1);
     }
 
     take(now: number): void {
-        if (this.count > 0 && now < this.expiresAt) {
-            this.count--;
+        const valid = this.findValid(now);
+        if (valid !== undefined) {
+            valid.count--;
         }
         else if (this.share !== undefined) {
             this.share.permits--;
         }
     }
 
-    apply(grant: PermitGrant, now: number): void {
+    /** Adds what control has granted to a call at `calledAt`, from when on its permits count as used up to their end. */
+    apply(grant: PermitGrant, calledAt: number, now: number): void {
         this.share = undefined;
-        this.count = grant.count + (now < this.expiresAt ? this.count : 0);
-        this.expiresAt = now + PERMIT_VALID_MS;
+        const { count, validMs = PERMIT_VALID_MS } = grant;
+        this.granted = [...this.granted.filter(item => item.expiresAt > now), { count, expiresAt: calledAt + validMs }]
+            .sort((left, right) => left.expiresAt - right.expiresAt);
         this.nextAt = now + grant.nextMs;
         this.expectedAt = now + grant.retryAfterMs;
     }
@@ -70,6 +73,13 @@
         this.nextAt = 0;
     }
 
+    /** Drops all permits, which were granted at another rate. */
+    clear(): void {
+        this.granted = [];
+        this.expectedAt = 0;
+        this.clearShare();
+    }
+
     /** Whether control may have a permit that some request wants. */
     isCallDue(now: number): boolean {
         return this.wanted > 0 && (now >= this.nextAt || this.share !== undefined);
@@ -83,4 +93,8 @@
     getRetryAfterMs(now: number): number {
         return Math.max(0, this.expectedAt - now, this.nextAt - now);
     }
+
+    private findValid(now: number): { count: number } | undefined {
+        return this.granted.find(item => item.count > 0 && now < item.expiresAt);
+    }
 }
--- a/packages/gateway/src/runningAttempt.ts
+++ b/packages/gateway/src/runningAttempt.ts
@@ -47,6 +47,9 @@
     if (responseHead.isSigned || responseHead.limit !== undefined) {
         limits.recordResponse({ endpoint: endpoint.key, sentAt: sent.sentAt, limit: responseHead.limit }, now);
     }
+    if (responseHead.coldMs !== undefined && status !== STATUS_MISDIRECTED) {
+        limits.recordCold(endpoint.key, responseHead.coldMs, now);
+    }
     if (responseHead.pauseMs !== undefined) {
         tracker.recordPause(endpoint, responseHead.pauseMs, now);
     }
--- a/packages/gateway/src/testing/plainHeaderCodec.ts
+++ b/packages/gateway/src/testing/plainHeaderCodec.ts
@@ -40,6 +40,7 @@
             isEncoded: false,
             load: undefined,
             limit: undefined,
+            coldMs: undefined,
             isLeaving: false,
             pauseMs: undefined,
         };
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -40,7 +40,7 @@
     },
     "over-limit": {
         meaning: "refused, has not run: the endpoints limit their requests, and none could take it in time",
-        events: ["endpoint-limit-changed", "endpoint-limit-named", "permits-not-granted"],
+        events: ["endpoint-limit-changed", "endpoint-limit-named", "endpoint-cold", "permits-not-granted"],
     },
     "endpoints-paused": {
         meaning: "refused, has not run: each endpoint had asked to be sent nothing for a time",
--- a/packages/matrix/src/endpointLimits.steps.ts
+++ b/packages/matrix/src/endpointLimits.steps.ts
@@ -1,6 +1,7 @@
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import { type Clock, install } from "@sinonjs/fake-timers";
 import { deepStrictEqual, ok } from "node:assert";
+import { countMost } from "./countMost.js";
 import { type LimitArrival, LimitSimulation, STEP_MS } from "./limitSimulation.js";
 import { FAKED_TIMERS } from "./virtualTime.js";
 
@@ -38,18 +39,6 @@
     }
 }
 
-/** Counts arrivals in the window of a length that begins with each arrival; returns the largest number. */
-function countMost(arrivals: LimitArrival[], windowMs: number): number {
-    let most = 0;
-    for (let first = 0, next = 0; first < arrivals.length; first++) {
-        while (next < arrivals.length && arrivals[next].at < arrivals[first].at + windowMs) {
-            next++;
-        }
-        most = Math.max(most, next - first);
-    }
-    return most;
-}
-
 Before({ tags: "@limit-simulation" }, () => {
     clock = install({ toFake: FAKED_TIMERS });
 });
@@ -115,7 +104,7 @@
         const counted = arrivals.filter(item =>
             item.isInContact && item.at >= limitFromMs + CONTACT_MS && item.at < limitToMs
         );
-        const most = countMost(counted, WINDOW_MS);
+        const most = countMost(counted.map(item => item.at), WINDOW_MS);
         return most > allowed ? [`${name}: ${most} in 4 s, ${allowed} are allowed`] : [];
     });
     deepStrictEqual(above, []);
--- a/packages/sidecar/src/engineClient.ts
+++ b/packages/sidecar/src/engineClient.ts
@@ -11,6 +11,8 @@
     /** Start of the incarnation that responded, Unix milliseconds. */
     bornMs: number;
     status: EngineStatus;
+    /** Time for which the engine stays cold, in milliseconds; not set if it reports none. */
+    coldMs?: number;
 }
 
 /** Client of the engine that a sidecar watches. */
--- a/packages/sidecar/src/sidecarRole.ts
+++ b/packages/sidecar/src/sidecarRole.ts
@@ -46,6 +46,9 @@
     private isPolling = false;
     private isClosed = false;
     private status: EngineStatus | undefined;
+    private coldMs = 0;
+    /** Number of times that a cold time has begun, been renewed or ended. */
+    private coldChanges = 0;
     private readonly timer: NodeJS.Timeout;
 
     private constructor(
@@ -102,6 +105,7 @@
         try {
             const report = await this.engine.readReport();
             this.refusals = 0;
+            this.setColdTime(report.coldMs ?? 0);
             this.setEngineState(true, report.bornMs, report.status);
         }
         catch (error) {
@@ -133,6 +137,13 @@
         this.status = status;
     }
 
+    private setColdTime(coldMs: number): void {
+        if (coldMs > this.coldMs || (coldMs === 0 && this.coldMs > 0)) {
+            this.coldChanges++;
+        }
+        this.coldMs = coldMs;
+    }
+
     private reportTo(link: Link): void {
         if (this.hasRead) {
             link.cast({ kind: "endpointFacts", facts: [this.buildFact()] });
@@ -144,7 +155,7 @@
         if (!this.hasRead) {
             return;
         }
-        const state = JSON.stringify([this.isReachable, this.bornMs, this.selectReported()]);
+        const state = JSON.stringify([this.isReachable, this.bornMs, this.coldChanges, this.selectReported()]);
         const now = performance.now();
         if (state === this.lastSentState && now - this.lastSentAt < REFRESH_MS) {
             return;
@@ -173,6 +184,7 @@
             isReachable: this.isReachable,
             bornMs: this.bornMs,
             engine: this.status,
+            ...(this.coldMs === 0 ? {} : { coldMs: this.coldMs }),
         };
     }
 
--- a/packages/types/src/endpoint.ts
+++ b/packages/types/src/endpoint.ts
@@ -50,6 +50,8 @@
     bornMs: number;
     sequence: number;
     engine: EngineStatus | undefined;
+    /** Time for which the endpoint stays cold, in milliseconds; not set if it reports none. */
+    coldMs?: number;
 }
 
 /**
@@ -72,6 +74,8 @@
     /** Start of the incarnation that answered last, Unix milliseconds; 0 if none has answered. */
     bornMs: number;
     engine: EngineStatus | undefined;
+    /** Time for which the endpoint stays cold, in milliseconds; not set if it reports none. */
+    coldMs?: number;
 }
 
 export type EndpointFact = HeartbeatFact | DepartureFact | ObservationFact;
--- a/packages/types/src/traffic.ts
+++ b/packages/types/src/traffic.ts
@@ -79,6 +79,15 @@
     /** Maximum number of connections that one endpoint accepts from all callers together. */
     maxConnections: number;
     engine: EngineProfile | undefined;
+    /** Not set if the service declares no cold time. */
+    cold?: ColdProfile;
+}
+
+/** For how long an endpoint is cold after its start during traffic, and what it tolerates until then. */
+export interface ColdProfile {
+    durationMs: number;
+    /** Requests a second that a cold endpoint tolerates from all gateways together; above 0. */
+    perSecond: number;
 }
 
 /** Bounds on what callers may send and how long they may take. */
