--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,7 +1,7 @@
 import { attachPacer, ChunkPacer } from "@kumquathall/byte-collector";
 import { ControlDirectory } from "@kumquathall/control-directory";
 import { DemandMeter, DemandTotals } from "@kumquathall/demand";
-import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
+import { findColdFault, findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
 import { describeError } from "@kumquathall/errors";
 import {
     createIdentity,
@@ -14,11 +14,13 @@
 import { type Link, parseAddress } from "@kumquathall/link";
 import type { InputFaultLog } from "@kumquathall/logger";
 import type {
+    ColdFact,
     ConfigurationUpdate,
     ControlAnswer,
     CrashEvidenceFact,
     DemandTotalsCast,
     EndpointFact,
+    HeartbeatFact,
     LimitFact,
     PermitGrant,
     PermitWant,
@@ -26,6 +28,7 @@
 } from "@kumquathall/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { CallerConnections, CloseReason } from "./callerConnections.js";
+import { type ColdBounds, ColdEndpoints } from "./coldEndpoints.js";
 import { CrashReporter } from "./crashReporter.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import { EndpointTracker } from "./endpointTracker.js";
@@ -56,6 +59,8 @@
      * `slack`.
      */
     retryBudget: { ratio: number; slack: number; windowMs: number };
+    /** Bounds on what a cold endpoint may receive; 1.5 times its rate and 5 requests if not set. */
+    coldBounds?: ColdBounds;
 }
 
 type ControlCast =
@@ -63,7 +68,8 @@
     | { kind: "endpointFacts"; facts: EndpointFact[] }
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
     | { kind: "endpointLimits"; facts: LimitFact[] }
-    | DemandTotalsCast;
+    | DemandTotalsCast
+    | { kind: "coldEndpoints"; facts: ColdFact[] };
 
 const STALE_CHECK_MS = 5000;
 const DEMAND_INTERVAL_MS = 1000;
@@ -81,7 +87,10 @@
     private readonly quarantine: QuarantineList;
     private readonly crashReporter: CrashReporter;
     private readonly tracker: EndpointTracker;
+    private readonly cold: ColdEndpoints;
     private readonly limits: EndpointLimits;
+    /** Links of control members that have sent what they know of the endpoints. */
+    private readonly informed = new Set<Link>();
     private readonly forwarder: Forwarder;
     private readonly server: Server;
     private readonly connections: CallerConnections;
@@ -108,6 +117,7 @@
         this.faults = faults;
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
+            countCold: () => this.cold.count(),
             countPaused: () => this.tracker.countPaused(performance.now()),
             countEvacuated: () => this.reader.countEvacuated(),
             countHeldBytes: () => this.forwarder.countHeldBytes(),
@@ -122,7 +132,7 @@
             logger,
             onChange: table => this.applyTable(table),
             onUpdate: update => this.applyQuarantine(update),
-            onEvacuations: changes => this.takeBackEvacuated(changes),
+            onEvacuations: changes => this.applyEvacuations(changes),
         });
         this.tracker = new EndpointTracker({
             getService: name => this.reader.getTable()?.getService(name),
@@ -131,6 +141,16 @@
             onCrash: crash => this.crashReporter.reportCrash(crash, performance.now()),
             onLeaving: fact => this.directory.castAll({ kind: "endpointFacts", facts: [fact] }),
         });
+        this.cold = new ColdEndpoints({
+            logger,
+            findView: key => this.tracker.findView(key),
+            getService: name => this.reader.getTable()?.getService(name),
+            hasContact: () => this.informed.size > 0,
+            countGateways: () => this.directory.countGateways(),
+            sendAll: facts => this.directory.castAll({ kind: "coldEndpoints", facts }),
+            onCold: key => this.handleCold(key),
+            bounds: settings.coldBounds,
+        });
         const permits = new PermitClient(() => this.directory.listLinks());
         this.limits = new EndpointLimits({
             logger,
@@ -141,6 +161,7 @@
                 return grants;
             },
             countGateways: () => this.directory.countGateways(),
+            cold: this.cold,
         });
         this.server = createServer(
             { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 60_000, requestTimeout: 0 },
@@ -186,7 +207,10 @@
             seeds: settings.seeds,
             handlers: {
                 onOpen: link => this.attachLink(link),
-                onClose: link => this.reader.removeLink(link),
+                onClose: link => {
+                    this.informed.delete(link);
+                    this.reader.removeLink(link);
+                },
                 onCast: (message, link) => this.handleCast(message as ControlCast, link),
                 onFault: createLinkFaultHandler(faults),
             },
@@ -230,6 +254,7 @@
         this.directory.close();
         this.tracker.close();
         this.limits.close();
+        this.cold.close();
         clearInterval(this.staleTimer);
         clearInterval(this.demandTimer);
         this.connections.closeAll(CloseReason.StopEnded);
@@ -242,6 +267,7 @@
 
     private removeStale(): void {
         this.limits.removeStale(key => this.tracker.hasEndpoint(key), performance.now());
+        this.cold.removeStale(performance.now());
         this.tracker.removeStale();
     }
 
@@ -285,8 +311,16 @@
         }
     }
 
-    private takeBackEvacuated(changes: EvacuationChange[]): void {
-        changes.filter(change => change.isEvacuated).forEach(change => this.tracker.takeBack(change.dataCentre));
+    /** Endpoints of a data centre that returns may have become cold just before, which no heartbeat has said yet. */
+    private applyEvacuations(changes: EvacuationChange[]): void {
+        for (const { dataCentre, isEvacuated } of changes) {
+            if (isEvacuated) {
+                this.tracker.takeBack(dataCentre);
+            }
+            else {
+                this.cold.recordReturn(dataCentre, performance.now());
+            }
+        }
     }
 
     private attachLink(link: Link): void {
@@ -315,17 +349,41 @@
 
     private recordFacts(answer: ControlAnswer, link: Link): void {
         if (answer.kind === "endpoints") {
-            this.tracker.record(answer.facts, performance.now(), link.peer?.id);
+            this.recordEndpoints(answer.facts, link);
+            this.informed.add(link);
+        }
+    }
+
+    private recordEndpoints(facts: EndpointFact[], link: Link): void {
+        const now = performance.now();
+        this.tracker.record(facts, now, link.peer?.id);
+        for (const fact of facts) {
+            if (isColdHeartbeat(fact)) {
+                this.cold.check(`${fact.id}@${fact.bornMs}`, now);
+            }
         }
     }
 
+    /** Requests that wait for a connection to an endpoint that has become cold go elsewhere. */
+    private handleCold(key: string): void {
+        this.limits.restartPermits(key, performance.now());
+        // Later, as the endpoint may be found to be cold while another request chooses.
+        queueMicrotask(() => this.tracker.takeBackUnwritten(key));
+    }
+
     private handleCast(message: ControlCast, link: Link): void {
         const selection = { faults: this.faults, writer: link.peer?.id ?? "" };
         if (message.kind === "revision") {
             this.reader.recordRevision(link, message.revision);
         }
         else if (message.kind === "endpointFacts") {
-            this.tracker.record(message.facts, performance.now(), link.peer?.id);
+            this.recordEndpoints(message.facts, link);
+        }
+        else if (message.kind === "coldEndpoints") {
+            this.cold.record(
+                selectUsable({ ...selection, kind: "cold-endpoint", facts: message.facts, findFault: findColdFault }),
+                performance.now(),
+            );
         }
         else if (message.kind === "endpointLimits") {
             this.limits.record(
@@ -359,6 +417,11 @@
     }
 }
 
+/** Also called with facts that can't be used, which may be no objects. */
+function isColdHeartbeat(fact: EndpointFact | null): fact is HeartbeatFact {
+    return fact?.kind === "heartbeat" && fact.coldMs !== undefined;
+}
+
 async function listen(server: Server, address: string): Promise<void> {
     const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
