Estimate the cost of requests, and choose endpoints by expected remaining work

Cause: the choice of a group counted a request with ten times the work like any other, took each report for the state of its arrival, and gateways with the same late reports chose the same group. Change: new package request-cost (RequestCostEstimator, EndpointWork). predictFirstEventMs uses what remains of each request if GroupLoad carries it; predictEventGapMs and isMemoryExceeded keep requests away from groups whose streams would pause or be preempted. Plain endpoints that report load are chosen by expected remaining milliseconds per slot. request-ended gains estimatedWorkMs and actualWorkMs; metric kumquathall_gateway_cost_error_ratio.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 /** Entry point of `npm run bench -- NAME`. The last line of its output is the result as JSON. */
 import { listBenches } from "@kumquathall/bench";
 import "./configuration.js";
+import "./endpointChoice.js";
 import "./groups.js";
 import "./ledger.js";
 import "./limits.js";
--- a/packages/engine-model/src/index.ts
+++ b/packages/engine-model/src/index.ts
@@ -1,2 +1,13 @@
 /** Predicts latencies of an engine from its published profile. */
-export { computeStepMs, estimatePrefillMs, estimateServiceMs, type GroupLoad, predictFirstEventMs } from "./predict.js";
+export {
+    computeStepMs,
+    estimateAdditionMs,
+    estimatePrefillMs,
+    estimateServiceMs,
+    type GroupLoad,
+    type GroupRequest,
+    isMemoryExceeded,
+    type PredictedRequest,
+    predictEventGapMs,
+    predictFirstEventMs,
+} from "./predict.js";
--- a/packages/gateway/src/chooseReplicaGroup.ts
+++ b/packages/gateway/src/chooseReplicaGroup.ts
@@ -1,4 +1,4 @@
-import { type GroupLoad, predictFirstEventMs } from "@kumquathall/engine-model";
+import { type GroupLoad, isMemoryExceeded, predictEventGapMs, predictFirstEventMs } from "@kumquathall/engine-model";
 import type { EngineModelProfile, EngineProfile } from "@kumquathall/types";
 
 /** A replica group that can run the request. */
@@ -8,12 +8,20 @@
     load: GroupLoad;
     /** Recent failure rate, 0 to 1. */
     failureScore: number;
+    /** Added to the predicted time when candidates are compared, in milliseconds: spreads gateways with the same reports. */
+    spreadMs?: number;
 }
 
 export interface ReplicaGroupChoiceInput {
     profile: EngineProfile;
     model: EngineModelProfile;
     promptTokens: number;
+    /** Expected answer; if known, groups whose running requests the request would disturb are avoided. */
+    answerTokens?: number;
+    /** Priority with which it is sent; 0 is served first. */
+    priority?: number;
+    /** Shortest objective for the interval between two events of the service's streams, in milliseconds. */
+    gapObjectiveMs?: number;
     candidates: ReplicaGroupCandidate[];
     /** Measured delay of first events beyond the profile's prediction, in milliseconds. */
     firstEventBiasMs: number;
@@ -38,19 +46,27 @@
 const LATE_SLOT_FRACTION = 0.95;
 /** Added to the predicted time of a group that fails every request, as a multiple of that time. */
 const FAILURE_COST_FACTOR = 4;
+/** A group that fails more of its requests is no better than one whose running requests would be disturbed. */
+const MAX_FAILURE_SCORE = 0.5;
 /** Bounds of the retry-after time of refused callers, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 150;
 const MAX_RETRY_AFTER_MS = 2000;
 
-/** Chooses the group with the earliest predicted first event, or refuses a request that no group can serve in time. */
+/**
+ * Chooses the group with the earliest predicted first event among those whose running requests aren't disturbed, or of all
+ * groups if there are none; or refuses a request that the group can't serve in time.
+ */
 export function chooseReplicaGroup(input: ReplicaGroupChoiceInput): ReplicaGroupChoice {
-    let best: { candidate: ReplicaGroupCandidate; predictedMs: number; cost: number } | undefined;
+    let best: { candidate: ReplicaGroupCandidate; predictedMs: number; cost: number; disturbs: boolean } | undefined;
     for (const candidate of input.candidates) {
         const predictedMs = input.firstEventBiasMs
-            + predictFirstEventMs(input.profile, input.model, candidate.load, input.promptTokens);
-        const cost = predictedMs * (1 + FAILURE_COST_FACTOR * candidate.failureScore);
-        if (best === undefined || cost < best.cost) {
-            best = { candidate, predictedMs, cost };
+            + predictFirstEventMs(input.profile, input.model, candidate.load, input.promptTokens, input);
+        const cost = (predictedMs + (candidate.spreadMs ?? 0)) * (1 + FAILURE_COST_FACTOR * candidate.failureScore);
+        const disturbs = mustDisturb(input, candidate);
+        const isBetter = best === undefined
+            || (disturbs === best.disturbs ? cost < best.cost : !disturbs);
+        if (isBetter) {
+            best = { candidate, predictedMs, cost, disturbs };
         }
     }
     if (best === undefined) {
@@ -67,3 +83,15 @@
         * (0.75 + input.random / 2);
     return { kind: "refuse", retryAfterMs, predictedMs };
 }
+
+/** Whether requests that run in a group would miss their objective between events, or be preempted, for the request. */
+function mustDisturb(input: ReplicaGroupChoiceInput, { load, failureScore }: ReplicaGroupCandidate): boolean {
+    const { profile, model, promptTokens, answerTokens, gapObjectiveMs } = input;
+    if (answerTokens === undefined) {
+        return false;
+    }
+    const isGapExceeded = gapObjectiveMs !== undefined && load.running > 0
+        && predictEventGapMs(profile, model, load, promptTokens) > gapObjectiveMs;
+    return failureScore > MAX_FAILURE_SCORE || isGapExceeded
+        || isMemoryExceeded(profile, load, promptTokens, answerTokens);
+}
--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -1,3 +1,5 @@
+import { estimateAdditionMs } from "@kumquathall/engine-model";
+import { computeSpreadMs } from "@kumquathall/request-cost";
 import type { EngineModelProfile, EngineProfile, TrafficRoute } from "@kumquathall/types";
 import { chooseLeastLoadedEndpoint } from "./chooseLeastLoadedEndpoint.js";
 import { chooseReplicaGroup } from "./chooseReplicaGroup.js";
@@ -5,7 +7,9 @@
 import type { EndpointTracker, TrackedEndpoint } from "./endpointTracker.js";
 import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import type { RequestHead } from "./httpHeaderCodec.js";
+import { pickCandidates } from "./pickCandidates.js";
 import { type Refusal, RefusalCause } from "./refusal.js";
+import type { RequestWork } from "./requestWork.js";
 import type { RouteTable } from "./routeTable.js";
 
 export interface EndpointChooserOptions {
@@ -16,6 +20,8 @@
     route: TrafficRoute;
     service: string;
     head: RequestHead;
+    /** Expected work of the request; without it, every request counts the same. */
+    work?: RequestWork;
 }
 
 export interface EndpointChoiceTimes {
@@ -43,6 +49,8 @@
 
 /** Usual time to repair a group with a standby, in milliseconds: detect the loss, join the members, open the head. */
 const REPAIR_MS = 1000;
+/** Groups of which one choice predicts times, in microseconds each; of more, it takes a random part. */
+const MAX_CANDIDATES = 64;
 /** Shortest time to return after a refusal for a limit or a pause, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 150;
 
@@ -101,8 +109,9 @@
 
     private choosePlain({ permitted, limited }: EndpointsByPermit, times: EndpointChoiceTimes): EndpointChoice {
         const { now } = times;
+        const requestMs = this.options.work?.getPlainMs();
         const choice = buildChoice({
-            endpoint: chooseLeastLoadedEndpoint(permitted, now),
+            endpoint: chooseLeastLoadedEndpoint(permitted, now, requestMs),
             candidates: permitted.length + limited.length,
             limited: limited.length,
         });
@@ -113,6 +122,7 @@
         const wanted = chooseLeastLoadedEndpoint(
             choice.endpoint === undefined ? next : [choice.endpoint, ...next],
             now,
+            requestMs,
         );
         return wanted === undefined || wanted === choice.endpoint
             ? choice
@@ -157,16 +167,29 @@
         endpoints: TrackedEndpoint[],
         times: EndpointChoiceTimes,
     ): EndpointChoice {
-        const { tracker, head, bias } = this.options;
+        const { tracker, head, bias, work, table, service } = this.options;
+        const cost = work?.getGenerationCost();
+        const typical = cost === undefined ? undefined : work?.estimateTypical(engine);
+        const additionMs = typical === undefined ? 0 : estimateAdditionMs(engine, model, typical.promptTokens);
         const choice = chooseReplicaGroup({
             profile: engine,
             model,
             promptTokens: head.promptTokens ?? engine.usualPromptTokens,
-            candidates: endpoints.map(endpoint => ({
-                endpointId: endpoint.key,
-                load: tracker.estimateLoad(endpoint),
-                failureScore: endpoint.health.getFailureScore(times.now),
-            })),
+            answerTokens: cost?.answerTokens,
+            priority: work?.getPriority(),
+            gapObjectiveMs: table.getShortestGapObjectiveMs(service),
+            candidates: pickCandidates(endpoints, MAX_CANDIDATES, Math.random).map(endpoint => {
+                const load = tracker.estimateLoad(endpoint, typical);
+                const spreadMs = typical === undefined
+                    ? 0
+                    : computeSpreadMs(
+                        endpoint.work.estimateOwnRequests(typical),
+                        additionMs * load.pace,
+                        Math.random(),
+                    );
+                const failureScore = endpoint.health.getFailureScore(times.now);
+                return { endpointId: endpoint.key, load, failureScore, spreadMs };
+            }),
             firstEventBiasMs: bias.get(model.name),
             timeToObjectiveMs: times.timeToObjectiveMs,
             timeToAbandonmentMs: times.timeToAbandonmentMs,
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -4,6 +4,7 @@
 import type { GroupLoad } from "@kumquathall/engine-model";
 import { describeError } from "@kumquathall/errors";
 import { InputFaultLog, type Logger } from "@kumquathall/logger";
+import { EndpointWork, type TypicalRequest } from "@kumquathall/request-cost";
 import {
     AttemptStage,
     type AttemptStageValue,
@@ -28,12 +29,12 @@
     readonly pause: EndpointPause;
     /** Requests that were sent and have not ended. */
     inFlight: Set<SentRequest>;
+    /** Work that it still has to do. */
+    readonly work: EndpointWork<SentRequest>;
     /** Attempts that ended without a complete response, oldest first. */
     broken: BrokenAttempt[];
     /** The endpoint's process has ended. */
     hasEnded: boolean;
-    /** Number of requests that ended after the latest report from the engine. */
-    endedSinceReport: number;
     /** Monotonic time of the latest response, in milliseconds. */
     lastResponseAt: number;
     /** Monotonic time until which the endpoint gets no new requests after a failure, in milliseconds. */
@@ -107,6 +108,9 @@
 /** Fraction of an endpoint's connections that one gateway may use; several gateways share the endpoint. */
 const CONNECTION_FRACTION = 1 / 8;
 const MIN_CONNECTIONS = 4;
+/** Age of an engine's state when its report arrives, in milliseconds. */
+const REPORT_LAG_MS = 200;
+const UNKNOWN_REQUEST: TypicalRequest = { promptTokens: 0, answerTokens: 0, remainingTokens: 0 };
 
 /** Tracks the endpoints from the facts that control members send, with this gateway's requests in flight at each. */
 export class EndpointTracker {
@@ -174,11 +178,11 @@
             return;
         }
         const endpoint = this.endpoints.get(formatEndpointKey(view));
-        if (endpoint !== undefined && fresh.engineReportedAt > view.engineReportedAt) {
-            endpoint.endedSinceReport = 0;
-        }
         const isPaceChanged = fresh.engine?.pace !== view.engine?.pace;
         Object.assign(view, fresh);
+        if (endpoint !== undefined) {
+            recordEngineReport(endpoint.work, view);
+        }
         const group = view.engine?.group;
         if (isPaceChanged && group !== undefined) {
             this.refreshPace(formatGroupKey(group.name, group.epoch));
@@ -209,25 +213,14 @@
             );
     }
 
-    /** Estimates a group's load: its latest report, corrected by this gateway's requests sent or ended after it. */
-    estimateLoad(endpoint: TrackedEndpoint): GroupLoad {
-        const { engine, engineReportedAt } = endpoint.view;
-        let sentSince = 0;
-        let pendingPrefillTokens = 0;
-        for (const request of endpoint.inFlight) {
-            sentSince += request.sentAt > engineReportedAt ? 1 : 0;
-            pendingPrefillTokens += request.hasStarted ? 0 : request.promptTokens;
-        }
-        const reported = (engine?.running ?? 0) + (engine?.waiting ?? 0);
-        const total = Math.max(endpoint.inFlight.size, reported + sentSince - endpoint.endedSinceReport);
-        const waiting = Math.min(total, (engine?.waiting ?? 0) + sentSince);
-        return {
-            running: total - waiting,
-            waiting,
-            pendingPrefillTokens,
-            kvUsedTokens: engine?.kvUsedTokens ?? 0,
-            pace: this.paceByHead.get(endpoint.key) ?? engine?.pace ?? 1,
-        };
+    /**
+     * Estimates a group's load: this gateway's requests there, and what its latest report says beyond them. The remaining work
+     * of each request is included if `typical` says what others' requests take.
+     */
+    estimateLoad(endpoint: TrackedEndpoint, typical?: TypicalRequest): GroupLoad {
+        const pace = this.paceByHead.get(endpoint.key) ?? endpoint.view.engine?.pace ?? 1;
+        const { requests, ...counts } = endpoint.work.estimateGroup(typical ?? UNKNOWN_REQUEST);
+        return typical === undefined ? { ...counts, pace } : { ...counts, pace, requests };
     }
 
     /** Records that a response of an endpoint says that its incarnation leaves. It gets nothing new from now on. */
@@ -367,11 +360,9 @@
             if (view.isLossAnnounced) {
                 continue;
             }
-            if (view.engineReportedAt > endpoint.view.engineReportedAt) {
-                endpoint.endedSinceReport = 0;
-            }
             const hasBegunToLeave = view.isLeaving && !endpoint.view.isLeaving;
             (endpoint as { view: EndpointView }).view = view;
+            recordEngineReport(endpoint.work, view);
             if (hasBegunToLeave) {
                 closeToNew(endpoint);
             }
@@ -465,6 +456,8 @@
 
     private createEndpoint(key: string, view: EndpointView): TrackedEndpoint {
         const maxConnections = this.options.getService(view.service)?.maxConnections ?? MIN_CONNECTIONS;
+        const work = new EndpointWork<SentRequest>(view.bornMs);
+        recordEngineReport(work, view);
         return {
             key,
             view,
@@ -476,9 +469,9 @@
             health: new EndpointHealth(),
             pause: new EndpointPause(),
             inFlight: new Set(),
+            work,
             broken: [],
             hasEnded: false,
-            endedSinceReport: 0,
             lastResponseAt: 0,
             avoidUntil: 0,
             reportedLoad: undefined,
@@ -498,6 +491,26 @@
     return contentMs < RUNNING_AFTER_MS ? AttemptStage.Unknown : AttemptStage.Running;
 }
 
+/** Records the engine's load in a view; a plain endpoint reports none in its facts. */
+function recordEngineReport(work: EndpointWork<SentRequest>, { bornMs, engine, engineReportedAt }: EndpointView): void {
+    if (engine === undefined) {
+        return;
+    }
+    if (engineReportedAt < (work.getReportedAt() ?? engineReportedAt)) {
+        // The sidecar's observation no longer shows the engine, and the heartbeat before it is in use again.
+        work.clearReport();
+    }
+    const { running, waiting, kvUsedTokens } = engine;
+    work.recordReport({
+        incarnation: bornMs,
+        receivedAt: engineReportedAt,
+        lagMs: REPORT_LAG_MS,
+        running,
+        waiting,
+        kvUsedTokens,
+    });
+}
+
 function findSlowestPace(members: EndpointView[]): number {
     return Math.max(...members.map(member => member.engine?.pace ?? 1));
 }
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -16,8 +16,9 @@
 import { RequestRecorder } from "./requestRecorder.js";
 import { RequestSubjects } from "./requestSubjects.js";
 import { RequestTiming } from "./requestTiming.js";
+import { RequestWork } from "./requestWork.js";
 import { MIN_ATTEMPT_MS, RetryAllowance } from "./retryAllowance.js";
-import { hasFraming, readMediaType, recordNotices, type RunningAttempt } from "./runningAttempt.js";
+import { hasFraming, readMediaType, recordLoad, recordNotices, type RunningAttempt } from "./runningAttempt.js";
 
 /** Interval between choices of an endpoint while none is available to continue a stream, in milliseconds. */
 const CHOICE_RETRY_MS = 20;
@@ -58,6 +59,7 @@
     private readonly answer: CallerResponse;
     private readonly recorder: RequestRecorder;
     private readonly timing: RequestTiming;
+    private readonly work: RequestWork;
     private readonly retries: RetryAllowance;
     private readonly deadlineTimer: PeerTimer;
     private choiceTimer: NodeJS.Timeout | undefined;
@@ -69,7 +71,8 @@
         const { head, route, arrivedAt, response } = options;
         this.answer = new CallerResponse({ ...options, requestId: head.requestId });
         this.recorder = new RequestRecorder(options);
-        this.chooser = new EndpointChooser(options);
+        this.work = new RequestWork(options);
+        this.chooser = new EndpointChooser({ ...options, work: this.work });
         this.subjects = new RequestSubjects({
             account: options.account?.name,
             method: options.request.method ?? "",
@@ -233,11 +236,12 @@
             onLost: scope.attach((reason, isEndpointLost) => this.handleEndpointLost(attempt, reason, isEndpointLost)),
             onClosed: scope.attach(() => this.takeBack(attempt)),
         };
+        const priority = this.choice?.isOnTime !== false ? account?.priority ?? route.priority : LATE_PRIORITY;
         const headers = codec.encodeForwardedRequest(listRawHeaders(request.rawHeaders), {
             remainingMs: Math.floor(remainingMs),
             endpointId: endpoint.view.id,
             account: account?.name,
-            priority: this.choice?.isOnTime !== false ? account?.priority ?? route.priority : LATE_PRIORITY,
+            priority,
             lastEventId: this.lastEventId,
         });
         const attempt: RunningAttempt = {
@@ -260,7 +264,7 @@
         };
         this.attempt = attempt;
         this.stallTimer.start(this.timing.computeFirstByteTimeoutMs(this.choice?.predictedMs ?? 0));
-        endpoint.inFlight.add(sent);
+        this.work.recordSent(endpoint, sent, priority);
         this.options.invalidResponses.watch(endpoint);
         attempt.handle = endpoint.pool.send(
             {
@@ -340,7 +344,7 @@
         attempt.status = status;
         attempt.headers = headers;
         if (responseHead.load !== undefined) {
-            attempt.endpoint.reportedLoad = { ...responseHead.load, at: performance.now() };
+            recordLoad(attempt.endpoint, responseHead.load);
         }
         recordNotices(attempt, responseHead, this.options);
         if (attempt.isContinuation && this.isStream(attempt) && readMediaType(headers) !== this.mediaType) {
@@ -372,6 +376,9 @@
                 return;
             }
             this.recordFirstContent(attempt);
+            if (!event.isComment) {
+                this.work.recordEvent(attempt.endpoint, attempt.sent);
+            }
             this.writeHeadOnce(attempt);
             this.stallTimer.start(this.timing.computeStreamIdleTimeoutMs());
             if (!isNext && !event.isComment) {
@@ -577,9 +584,7 @@
         this.options.answerFlow.remove(attempt.handle);
         attempt.parser.close();
         this.stallTimer.stop();
-        if (attempt.endpoint.inFlight.delete(attempt.sent)) {
-            attempt.endpoint.endedSinceReport++;
-        }
+        this.work.recordEnd(attempt.endpoint, attempt.sent);
     }
 
     private handleDeadline(): void {
@@ -631,12 +636,16 @@
         this.stallTimer.stop();
         effect();
         const isServed = cause === SERVED;
+        if (isServed) {
+            this.work.recordServed(status);
+        }
         this.recorder.recordEnd({
             status,
             cause,
             sends: this.sends,
             firstByteAt: this.answer.firstByteAt,
             choice: this.choice,
+            work: this.work.getFigures(),
             quarantineRecord: this.quarantineRecord,
             retryAfterMs: this.retryAfterMs,
             incomplete: isServed ? undefined : this.incomplete,
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -1,5 +1,6 @@
 import type { ByteBudget } from "@kumquathall/byte-collector";
 import type { Logger } from "@kumquathall/logger";
+import type { RequestCostEstimator } from "@kumquathall/request-cost";
 import type { TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnswerFlow } from "./answerFlow.js";
@@ -41,6 +42,7 @@
     metrics: GatewayMetrics;
     budget: SharedRetryBudget;
     bias: FirstEventBiasEstimator;
+    costs: RequestCostEstimator;
     /** Estimated time between the caller's first attempt and the arrival of this request, in milliseconds. */
     ageMs: number;
     limits: EndpointLimits;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -1,5 +1,6 @@
 import { ByteBudget } from "@kumquathall/byte-collector";
 import type { Logger } from "@kumquathall/logger";
+import { RequestCostEstimator } from "@kumquathall/request-cost";
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AnswerFlow } from "./answerFlow.js";
@@ -65,6 +66,7 @@
     private readonly readingBody = new Set<() => void>();
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBiasEstimator();
+    private readonly costs = new RequestCostEstimator();
     private readonly bodyBytes = new ByteBudget(MAX_BODY_BYTES);
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
     private readonly unreadEventBytes = new ByteBudget(MAX_UNREAD_EVENT_BYTES);
@@ -250,6 +252,7 @@
                 metrics,
                 budget: this.getBudget(service),
                 bias: this.bias,
+                costs: this.costs,
                 ageMs: head.deadlineMs === undefined ? 0 : this.ages.estimateAgeMs(route.name, head.deadlineMs),
                 quarantine: this.options.quarantine,
                 crashReporter: this.options.crashReporter,
--- a/packages/gateway/src/gateway.feature
+++ b/packages/gateway/src/gateway.feature
@@ -61,6 +61,26 @@
         When a request arrives with 400 ms to its objective
         Then it goes to group 3
 
+    # Guards against a choice by the predicted first event alone, which makes the running streams of a group pause.
+    Scenario: A group whose streams would pause longer than their objective is passed over for one with more requests
+        Given groups with 20, 5 and 12 requests of 34 slots
+        And group 2 runs at a pace of 3
+        When a request of 8000 prompt tokens and 100 answer tokens arrives, where events may be 200 ms apart
+        Then it goes to group 3
+
+    # Guards against a request that makes an engine preempt others, whose prompts are then read again.
+    Scenario: A group whose memory is too small for one more request is passed over for one with more requests
+        Given groups with 20, 5 and 12 requests of 34 slots
+        And group 2 uses 1699000 tokens of memory
+        When a request of 1000 prompt tokens and 100 answer tokens arrives, where events may be 200 ms apart
+        Then it goes to group 3
+
+    # Guards against a request that is sent nowhere because it would disturb others everywhere.
+    Scenario: Where every group's streams would pause, the earliest first event decides
+        Given groups with 20, 5 and 12 requests of 34 slots
+        When a request of 8000 prompt tokens and 100 answer tokens arrives, where events may be 10 ms apart
+        Then it goes to group 2
+
     Scenario Outline: A stopping gateway refuses requests that it might not finish, so that callers can retry elsewhere
         Then a gateway that stops within 8000 ms accepts a request of up to <duration> ms that arrives <since> ms after the signal: <accepted>
 
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -9,7 +9,12 @@
 } from "@kumquathall/types";
 import { type Clock, install } from "@sinonjs/fake-timers";
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
-import { chooseReplicaGroup, type ReplicaGroupCandidate, type ReplicaGroupChoice } from "./chooseReplicaGroup.js";
+import {
+    chooseReplicaGroup,
+    type ReplicaGroupCandidate,
+    type ReplicaGroupChoice,
+    type ReplicaGroupChoiceInput,
+} from "./chooseReplicaGroup.js";
 import { EndpointTracker } from "./endpointTracker.js";
 import { EventStreamParser } from "./eventStreamParser.js";
 import { RequestAgeEstimator } from "./requestAgeEstimator.js";
@@ -162,17 +167,34 @@
     candidates = [];
 });
 
-When("a request arrives with {int} ms to its objective", (timeToObjectiveMs: number) => {
+function choose(input: Partial<ReplicaGroupChoiceInput>): void {
     choice = chooseReplicaGroup({
         profile: PROFILE,
         model: PROFILE.models[0],
         promptTokens: 1000,
         candidates,
         firstEventBiasMs: 100,
-        timeToObjectiveMs,
+        timeToObjectiveMs: 400,
         timeToAbandonmentMs: 2000,
         random: 0.5,
+        ...input,
     });
+}
+
+When("a request arrives with {int} ms to its objective", (timeToObjectiveMs: number) => choose({ timeToObjectiveMs }));
+
+When(
+    "a request of {int} prompt tokens and {int} answer tokens arrives, where events may be {int} ms apart",
+    (promptTokens: number, answerTokens: number, gapObjectiveMs: number) =>
+        choose({ promptTokens, answerTokens, gapObjectiveMs, timeToObjectiveMs: 2000 }),
+);
+
+Given("group {int} runs at a pace of {int}", (group: number, pace: number) => {
+    candidates[group - 1].load.pace = pace;
+});
+
+Given("group {int} uses {int} tokens of memory", (group: number, kvUsedTokens: number) => {
+    candidates[group - 1].load.kvUsedTokens = kvUsedTokens;
 });
 
 Then("it goes to group {int}", (group: number) => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -6,6 +6,7 @@
     attempts: Counter<"service" | "outcome">;
     firstByteSeconds: Histogram<"route">;
     active: Gauge;
+    costErrorRatio: Histogram<"kind">;
     quarantined: Gauge<"subject">;
     permits: Counter<"outcome">;
     incompleteAnswers: Counter<"cause" | "stopping">;
@@ -29,6 +30,9 @@
 /** Bucket bounds in seconds: objectives are some hundred milliseconds, deadlines some seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8];
 
+/** Bucket bounds of a ratio: powers of two around 1. */
+const RATIO_BUCKETS = [1 / 16, 1 / 8, 1 / 4, 1 / 2, 0.8, 1, 1.25, 2, 4, 8, 16];
+
 export function registerGatewayMetrics(metrics: Registry, options: GatewayMetricsOptions): GatewayMetrics {
     const registers = [metrics];
     new Gauge({
@@ -129,6 +133,13 @@
             help: "Connections closed because callers had not read their answers while others held as much as they may",
             registers,
         }),
+        costErrorRatio: new Histogram({
+            name: "kumquathall_gateway_cost_error_ratio",
+            help: "Work of answered requests relative to its estimate on arrival, by kind of request",
+            labelNames: ["kind"],
+            buckets: RATIO_BUCKETS,
+            registers,
+        }),
         active: new Gauge({
             name: "kumquathall_gateway_active_requests",
             help: "Requests under way",
--- a/packages/gateway/src/requestRecorder.ts
+++ b/packages/gateway/src/requestRecorder.ts
@@ -6,6 +6,7 @@
 import type { IncompleteCauseValue } from "./incompleteCause.js";
 import type { GatewayMetrics } from "./metrics.js";
 import { formatSuspect } from "./quarantineList.js";
+import type { WorkFigures } from "./requestWork.js";
 import type { RunningAttempt } from "./runningAttempt.js";
 
 export interface RequestRecorderOptions {
@@ -30,6 +31,7 @@
     sends: number;
     firstByteAt: number | undefined;
     choice: EndpointChoice | undefined;
+    work: WorkFigures;
     quarantineRecord: SuspectRecord | undefined;
     retryAfterMs: number | undefined;
     /** Why it ended without a complete answer of an endpoint; `undefined` if it has one. */
@@ -57,6 +59,10 @@
         if (firstByteAt !== undefined) {
             metrics.firstByteSeconds.observe({ route: route.name }, (firstByteAt - arrivedAt) / 1000);
         }
+        const { kind, estimatedMs, actualMs } = end.work;
+        if (actualMs !== undefined && estimatedMs > 0) {
+            metrics.costErrorRatio.observe({ kind }, actualMs / estimatedMs);
+        }
         logger.info("request-ended", {
             requestId: head.requestId,
             route: route.name,
@@ -69,6 +75,8 @@
             firstByteMs: firstByteAt === undefined ? undefined : Math.round(firstByteAt - arrivedAt),
             predictedMs: Math.round(choice?.predictedMs ?? 0),
             candidates: choice?.candidates,
+            estimatedWorkMs: Math.round(estimatedMs),
+            actualWorkMs: actualMs === undefined ? undefined : Math.round(actualMs),
             limited: choice?.limited === 0 ? undefined : choice?.limited,
             ageMs: Math.round(this.options.ageMs),
             quarantined: quarantineRecord === undefined ? undefined : formatSuspect(quarantineRecord),
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -46,6 +46,8 @@
     private readonly hosts = new Map<string, HostRoutes>();
     private readonly accountsByKey = new Map<string, TrafficAccount>();
     private accountCount = 0;
+    /** Shortest gap objectives by service, as far as they have been computed since the last change of a route. */
+    private readonly gapObjectives = new Map<string, number | undefined>();
     private current: Extract<ConfigurationValue, { kind: "traffic" }> | undefined;
 
     /** Version in force; 0 before the first. */
@@ -62,6 +64,19 @@
         return this.current?.services.find(service => service.name === name);
     }
 
+    /** Shortest objective for the interval between two events among the routes of a service, in milliseconds. */
+    getShortestGapObjectiveMs(service: string): number | undefined {
+        if (!this.gapObjectives.has(service)) {
+            const objectives = [...this.entries.values()].flatMap(value =>
+                value.kind === "trafficRoute" && value.route.targets.some(target => target.service === service)
+                    ? value.route.gapObjectiveMs ?? []
+                    : []
+            );
+            this.gapObjectives.set(service, objectives.length === 0 ? undefined : Math.min(...objectives));
+        }
+        return this.gapObjectives.get(service);
+    }
+
     /** Applies the changes of an update; a snapshot replaces everything. */
     apply(update: ConfigurationUpdate): void {
         const changes = new Map(update.changes.map(change => [change.key, change.value]));
@@ -70,6 +85,7 @@
         for (const key of replaced) {
             this.removeEntry(key);
         }
+        this.gapObjectives.clear();
         for (const [key, value] of changes) {
             if (value !== undefined) {
                 this.addEntry(key, value);
--- a/packages/gateway/src/runningAttempt.ts
+++ b/packages/gateway/src/runningAttempt.ts
@@ -37,6 +37,17 @@
     return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 }
 
+/** Records the load that an endpoint names in a response. Engines report theirs, with their memory, in their facts. */
+export function recordLoad(endpoint: TrackedEndpoint, load: { running: number; waiting: number }): void {
+    const now = performance.now();
+    endpoint.reportedLoad = { ...load, at: now };
+    if (endpoint.view.engine === undefined) {
+        const { running, waiting } = load;
+        const incarnation = endpoint.view.bornMs;
+        endpoint.work.recordReport({ incarnation, receivedAt: now, lagMs: 0, running, waiting, kvUsedTokens: 0 });
+    }
+}
+
 /** Records what a valid response says of its endpoint. Another incarnation may have answered with status 421. */
 export function recordNotices(
     { endpoint, sent, status }: RunningAttempt,
--- a/packages/matrix/src/index.ts
+++ b/packages/matrix/src/index.ts
@@ -8,5 +8,6 @@
 } from "./deliverySimulation.js";
 export { renderFaultsPage } from "./faultsPage.js";
 export type { CellResult, MatrixCell } from "./matrixCell.js";
+export { createRandom } from "./random.js";
 export { createSimulatedVm, openSimulatedConnection, type SimulatedVm } from "./simulatedNetwork.js";
 export { FAKED_TIMERS, runInVirtualTime, type VirtualTime } from "./virtualTime.js";
