--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -1,3 +1,5 @@
+import { estimateAdditionMs } from "@kumquathall/engine-model";
+import { computeSpreadMs } from "@kumquathall/request-cost";
 import type { EngineModelProfile, EngineProfile, TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import { chooseLeastLoadedEndpoint } from "./chooseLeastLoadedEndpoint.js";
 import { chooseReplicaGroup } from "./chooseReplicaGroup.js";
@@ -6,7 +8,9 @@
 import type { EndpointTracker, TrackedEndpoint } from "./endpointTracker.js";
 import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
 import type { RequestHead } from "./httpHeaderCodec.js";
+import { pickCandidates } from "./pickCandidates.js";
 import { type Refusal, RefusalCause } from "./refusal.js";
+import type { RequestWork } from "./requestWork.js";
 import type { RouteTable } from "./routeTable.js";
 
 export interface EndpointChooserOptions {
@@ -20,6 +24,8 @@
     getRegion: (dataCentre: string) => string | undefined;
     service: string;
     head: RequestHead;
+    /** Expected work of the request; without it, every request counts the same. */
+    work?: RequestWork;
 }
 
 export interface EndpointChoiceTimes {
@@ -47,6 +53,8 @@
 
 /** Usual time to repair a group with a standby, in milliseconds: detect the loss, join the members, open the head. */
 const REPAIR_MS = 1000;
+/** Groups of which one choice predicts times, in microseconds each; of more, it takes a random part. */
+const MAX_CANDIDATES = 64;
 /** Shortest time to return after a refusal for a limit or a pause, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 150;
 
@@ -114,9 +122,10 @@
 
     private choosePlain({ permitted, limited }: EndpointsByPermit, times: EndpointChoiceTimes): EndpointChoice {
         const { now } = times;
+        const requestMs = this.options.work?.getPlainMs();
         const choice = buildChoice({
             endpoint: this.chooseBelowColdShare(permitted, now, endpoints => {
-                const endpoint = chooseLeastLoadedEndpoint(endpoints, now);
+                const endpoint = chooseLeastLoadedEndpoint(endpoints, now, requestMs);
                 return { endpoint, isOnTime: endpoint !== undefined && endpoint.inFlight.size < endpoint.view.slots };
             }).endpoint,
             candidates: permitted.length + limited.length,
@@ -129,6 +138,7 @@
         const wanted = chooseLeastLoadedEndpoint(
             choice.endpoint === undefined ? next : [choice.endpoint, ...next],
             now,
+            requestMs,
         );
         return wanted === undefined || wanted === choice.endpoint
             ? choice
@@ -198,16 +208,29 @@
         endpoints: TrackedEndpoint[],
         times: EndpointChoiceTimes,
     ): EndpointChoice {
-        const { tracker, head, bias } = this.options;
+        const { tracker, head, bias, work, table, service } = this.options;
+        const cost = work?.getGenerationCost();
+        const typical = cost === undefined ? undefined : work?.estimateTypical(engine);
+        const additionMs = typical === undefined ? 0 : estimateAdditionMs(engine, model, typical.promptTokens);
         const choice = chooseReplicaGroup({
             profile: engine,
             model,
             promptTokens: head.promptTokens ?? engine.usualPromptTokens,
-            candidates: endpoints.map(endpoint => ({
-                endpointId: endpoint.key,
-                load: tracker.estimateLoad(endpoint),
-                failureScore: endpoint.health.getFailureScore(times.now),
-            })),
+            answerTokens: cost?.answerTokens,
+            priority: work?.getPriority(),
+            gapObjectiveMs: table.getShortestGapObjectiveMs(service),
+            candidates: pickCandidates(endpoints, MAX_CANDIDATES, Math.random).map(endpoint => {
+                const load = tracker.estimateLoad(endpoint, typical);
+                const spreadMs = typical === undefined
+                    ? 0
+                    : computeSpreadMs(
+                        endpoint.work.estimateOwnRequests(typical),
+                        additionMs * load.pace,
+                        Math.random(),
+                    );
+                const failureScore = endpoint.health.getFailureScore(times.now);
+                return { endpointId: endpoint.key, load, failureScore, spreadMs };
+            }),
             firstEventBiasMs: bias.get(model.name),
             timeToObjectiveMs: times.timeToObjectiveMs,
             timeToAbandonmentMs: times.timeToAbandonmentMs,
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -49,6 +49,8 @@
     private readonly accountsByKey = new Map<string, TrafficAccount>();
     private readonly evacuations = new Evacuations();
     private accountCount = 0;
+    /** Shortest gap objectives by service, as far as they have been computed since the last change of a route. */
+    private readonly gapObjectives = new Map<string, number | undefined>();
     private current: Extract<ConfigurationValue, { kind: "traffic" }> | undefined;
 
     /** Version in force; 0 before the first. */
@@ -79,6 +81,19 @@
         return this.evacuations.count();
     }
 
+    /** Shortest objective for the interval between two events among the routes of a service, in milliseconds. */
+    getShortestGapObjectiveMs(service: string): number | undefined {
+        if (!this.gapObjectives.has(service)) {
+            const objectives = [...this.entries.values()].flatMap(value =>
+                value.kind === "trafficRoute" && value.route.targets.some(target => target.service === service)
+                    ? value.route.gapObjectiveMs ?? []
+                    : []
+            );
+            this.gapObjectives.set(service, objectives.length === 0 ? undefined : Math.min(...objectives));
+        }
+        return this.gapObjectives.get(service);
+    }
+
     /**
      * Applies the changes of an update; a snapshot replaces everything. Entries of other kinds are ignored. Returns the
      * evacuations that differ.
@@ -90,6 +105,7 @@
         for (const key of replaced) {
             this.removeEntry(key);
         }
+        this.gapObjectives.clear();
         for (const [key, value] of changes) {
             if (value !== undefined) {
                 this.addEntry(key, value);
