--- a/packages/gateway/src/gateway.feature
+++ b/packages/gateway/src/gateway.feature
@@ -55,6 +55,19 @@
         Given requests of a route with deadlines of 8000, 8000 and 6500 ms
         Then the last of them is 1500 ms old
 
+    # Callers of a route waited for 5100 to 6000 ms. Measured against the longest, first attempts counted as 450 ms old on
+    # average: three quarters of them were sent with the priority of requests that miss their objective of 250 ms.
+    Scenario Outline: Load pattern "callers of different patience": their first attempts count as new, retries of 1200 ms as late
+        Given 1000 first attempts with deadlines from 5100 to 6000 ms, and a retry 1200 ms later of <retries> in 100 of them
+        Then at most 10 in 100 of the first attempts count as older than 50 ms, and none as older than 150 ms
+        And at least <found> in 100 of the retries count as older than 100 ms
+
+        Examples:
+            | retries | found |
+            | 0       | 0     |
+            | 10      | 90    |
+            | 60      | 90    |
+
     Scenario: An idle group that fails most requests is passed over for a busier one
         Given groups with 20, 0 and 12 requests of 34 slots
         And group 2 fails most requests
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -217,6 +217,42 @@
     },
 );
 
+/** Estimated ages of first attempts and of retries, in milliseconds. */
+let firstAges: number[] = [];
+let retryAges: number[] = [];
+
+Given(
+    "{int} first attempts with deadlines from {int} to {int} ms, and a retry {int} ms later of {int} in 100 of them",
+    (count: number, shortestMs: number, longestMs: number, afterMs: number, retried: number) => {
+        const ages = new RequestAgeEstimator();
+        firstAges = [];
+        retryAges = [];
+        for (let at = 0; at < count; at++) {
+            // Multiples of irrational numbers fill the unit interval evenly and independently of each other.
+            const deadlineMs = shortestMs + (longestMs - shortestMs) * (at * Math.SQRT2 % 1);
+            firstAges.push(ages.estimateAgeMs("r", deadlineMs));
+            // Retries begin after a calm time, in which the spread of the callers is learned.
+            if (at > count / 2 && at * Math.E % 1 * 100 < retried) {
+                retryAges.push(ages.estimateAgeMs("r", deadlineMs - afterMs));
+            }
+        }
+    },
+);
+
+Then(
+    "at most {int} in 100 of the first attempts count as older than {int} ms, and none as older than {int} ms",
+    (share: number, ageMs: number, maxMs: number) => {
+        // The first deadlines of a route show little of its callers' spread.
+        const later = firstAges.slice(100);
+        ok(later.filter(age => age > ageMs).length <= later.length * share / 100, String(later));
+        ok(later.every(age => age <= maxMs), String(Math.max(...later)));
+    },
+);
+
+Then("at least {int} in 100 of the retries count as older than {int} ms", (share: number, ageMs: number) => {
+    ok(retryAges.filter(age => age > ageMs).length >= retryAges.length * share / 100, String(retryAges));
+});
+
 Then("the last of them is {int} ms old", (expected: number) => strictEqual(age, expected));
 
 Given(
