--- a/packages/gateway/src/requestAgeEstimator.ts
+++ b/packages/gateway/src/requestAgeEstimator.ts
@@ -31,7 +31,7 @@
             this.shortestMs = Math.min(this.shortestMs ?? deadlineMs, deadlineMs);
         }
         else if (this.count % RECOMPUTE_EVERY === 0) {
-            this.recompute();
+            this.updateShortest();
         }
     }
 
@@ -39,7 +39,7 @@
      * First attempts are the majority, so the upper half of the deadlines shows how far theirs lie from their median. Retries
      * only lower the median, so the least spread of late is the best estimate.
      */
-    private recompute(): void {
+    private updateShortest(): void {
         const sorted = [...this.recent].sort((left, right) => left - right);
         const highest = sorted[Math.floor(HIGH_QUANTILE * (sorted.length - 1))];
         const spreadMs = 2 * (highest - sorted[Math.floor(sorted.length / 2)]);
