--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -46,6 +46,16 @@
         meaning: "refused, has not run: each endpoint had asked to be sent nothing for a time",
         events: ["endpoint-paused", "endpoint-leaving"],
     },
+    "data-centres-evacuated": {
+        meaning: "refused, has not run: all endpoints that could serve it are in evacuated data centres",
+        events: ["engine-lost", "engine-order"],
+        stateEvent: "evacuation-applied",
+    },
+    "no-allowed-region": {
+        meaning: "refused, has not run: no endpoint is in a region that its route and account allow",
+        events: [],
+        stateEvent: "configuration-applied",
+    },
     "no-configuration": {
         meaning: "refused, has not run: the gateway had no configuration yet",
         events: ["started", "control-link-opened", "control-link-closed", "configuration-applied"],
--- a/packages/log-story/src/logStory.feature
+++ b/packages/log-story/src/logStory.feature
@@ -22,6 +22,9 @@
             at=2026-01-01T00:04:00.000Z level=info event=endpoint-limit-changed process=core-1 endpoint=i-9@1 perSecond=1.33
             at=2026-01-01T00:04:01.000Z level=info event=permits-not-granted process=front-2 message="no leader"
             at=2026-01-01T00:04:02.000Z level=info event=request-ended process=front-1 requestId=limited status=503 cause=over-limit sends=0 limited=3
+            at=2026-01-01T00:05:00.000Z level=info event=evacuation-applied process=front-1 dataCentre=a isEvacuated=true revision=12
+            at=2026-01-01T00:05:01.000Z level=info event=evacuation-applied process=front-2 dataCentre=a isEvacuated=true revision=12
+            at=2026-01-01T00:09:00.000Z level=info event=request-ended process=front-1 requestId=evacuated status=503 cause=data-centres-evacuated sends=0
             not a line of ours
             """
 
@@ -57,3 +60,7 @@
     Scenario: A refusal for a limit is explained by the limits that changed before it
         Then "limited" ended with "status 503, over-limit: refused, has not run: the endpoints limit their requests, and none could take it in time"
         And its causes are "endpoint-limit-changed core-1"
+
+    Scenario: A refusal for an evacuation is explained by the newest one that its gateway has applied, regardless of its age
+        Then "evacuated" ended with "status 503, data-centres-evacuated: refused, has not run: all endpoints that could serve it are in evacuated data centres"
+        And its causes are "evacuation-applied front-1"
