--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -21,6 +21,7 @@
     OrderMessage,
     TrafficService,
 } from "@kumquathall/types";
+import { computeAcceptedPart } from "./computeAcceptedPart.js";
 import type { ControlStateMachine } from "./controlStateMachine.js";
 import { FactFilter, hasOnlyLoadChange } from "./factFilter.js";
 import { isFleetSettled } from "./settling.js";
@@ -40,7 +41,6 @@
 const PLAN_EACH_TICK_MS = 1500;
 /** Interval between plans while nothing changes, in milliseconds: loads, reports and orders expire. */
 const QUIET_PLAN_INTERVAL_MS = 200;
-const MS_PER_SECOND = 1000;
 /** Facts within this time are sent to watchers together, in milliseconds, if one changes which endpoints serve. */
 const CHANGE_COALESCE_MS = 5;
 /** The same for facts that change load only. */
@@ -320,14 +320,14 @@
 
     /** Part of a group's usual work that its head accepts, 0 to 1. */
     private computeAcceptedPart(head: EndpointView, engine: EngineProfile, model: EngineModelProfile): number {
-        const limit = this.options.getNamedLimit?.(`${head.id}@${head.bornMs}`) ?? Number.POSITIVE_INFINITY;
         const { services = [] } = getTraffic(this.options.stateMachine.getState().configuration) ?? {};
-        const isCold = (head.coldUntil ?? 0) > performance.now();
-        const cold = isCold ? services.find(service => service.name === head.service)?.cold : undefined;
-        const perSecond = Math.min(limit, cold?.perSecond ?? Number.POSITIVE_INFINITY);
-        const { usualPromptTokens, usualAnswerTokens } = engine;
-        const usualMs = estimateServiceMs(engine, model, usualPromptTokens, usualAnswerTokens);
-        return Number.isFinite(perSecond) ? Math.min(1, perSecond * usualMs / MS_PER_SECOND) : 1;
+        return computeAcceptedPart({
+            usualMs: estimateServiceMs(engine, model, engine.usualPromptTokens, engine.usualAnswerTokens),
+            namedLimit: this.options.getNamedLimit?.(`${head.id}@${head.bornMs}`),
+            cold: services.find(service => service.name === head.service)?.cold,
+            coldUntil: head.coldUntil,
+            now: performance.now(),
+        });
     }
 
     /** Whether every sidecar has had time to link, and a former leader's orders have had time to be reported. */
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -131,7 +131,7 @@
             logger,
             findView: key => this.tracker.findView(key),
             getService: name => this.reader.getTable()?.getService(name),
-            hasContact: () => this.informed.size > 0,
+            hasContact: () => [...this.informed].some(link => link.isOpen()),
             countGateways: () => this.directory.countGateways(),
             sendAll: facts => this.directory.castAll({ kind: "coldEndpoints", facts }),
             onCold: key => this.handleCold(key),
@@ -320,7 +320,9 @@
     private recordFacts(answer: ControlAnswer, link: Link): void {
         if (answer.kind === "endpoints") {
             this.recordEndpoints(answer.facts, link);
-            this.informed.add(link);
+            if (link.isOpen()) {
+                this.informed.add(link);
+            }
         }
     }
 
--- a/packages/sidecar/src/sidecar.feature
+++ b/packages/sidecar/src/sidecar.feature
@@ -13,3 +13,10 @@
         When the sidecar has linked to the control member
         And the engine refuses connections
         Then the first report says that the engine is lost
+
+    # Guards against an engine that becomes cold between two heartbeats and receives its usual requests until the next one.
+    Scenario: A sidecar reports for how long its engine stays cold
+        Given a control member, and a sidecar whose engine does not respond yet
+        When the sidecar has linked to the control member
+        And the engine responds that it stays cold for 2500 ms
+        Then the first report says that it stays cold for 2500 ms
--- a/packages/sidecar/src/sidecar.steps.ts
+++ b/packages/sidecar/src/sidecar.steps.ts
@@ -69,7 +69,7 @@
 
 When("the sidecar has linked to the control member", () => linked);
 
-When("the engine responds", () => {
+function respond(cold: { coldMs?: number }): void {
     const status = {
         orderSequence: 0,
         isBusy: false,
@@ -83,8 +83,12 @@
         fabricDomain: "f",
         group: undefined,
     };
-    engine.settle?.resolve({ bornMs: 5, status });
-});
+    engine.settle?.resolve({ bornMs: 5, status, ...cold });
+}
+
+When("the engine responds", () => respond({}));
+
+When("the engine responds that it stays cold for {int} ms", (coldMs: number) => respond({ coldMs }));
 
 When("the engine refuses connections", () => {
     engine.settle?.reject(new EngineUnreachableError("the engine's address refuses connections"));
@@ -97,3 +101,7 @@
 });
 
 Then("the first report says that the engine is lost", async () => strictEqual((await firstReport).isReachable, false));
+
+Then("the first report says that it stays cold for {int} ms", async (coldMs: number) => {
+    strictEqual((await firstReport).coldMs, coldMs);
+});
