Leave standing groups alone after a power failure of all control members, and log the steps of a start

Cause: in virtual time, a leader that restarted dissolved groups for another model while it knew only a part of them (2 groups at the loss of 2 engines during the outage), released a whole group when a data centre's reports came from 4 s on, and loaded models without the budget until a gateway reported a request. Change: rebalances wait for the complete view; the view isn't complete while endpoints keep appearing, for at most 15 s; a group of a term before the restart counts as traffic. The decisions (settling.ts) move from control to engine-groups. start-step lines at control and gateways. Groups with members lost in the outage are repaired within 6 s of the return.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -9,6 +9,7 @@
     type RoleContext,
     type RunningRole,
     selectUsable,
+    StartSteps,
 } from "@kumquathall/kernel";
 import { type Link, LinkDialer, LinkListener, parseAddress, type PeerIdentity } from "@kumquathall/link";
 import type { InputFaultLog } from "@kumquathall/logger";
@@ -226,7 +227,7 @@
             metrics: context.metrics,
             logger: context.logger,
         });
-        this.openTasks();
+        this.openTasks(recovered.hardState.term);
         registerControlMetrics(context.metrics, {
             runtime: this.runtime,
             stateMachine: this.stateMachine,
@@ -254,7 +255,7 @@
     }
 
     /** Starts discovery and membership if the settings give seeds, and engine orders if the options ask for them. */
-    private openTasks(): void {
+    private openTasks(recoveredTerm: number): void {
         const { founding } = this.settings;
         const { logger } = this.context;
         if (founding !== undefined) {
@@ -290,6 +291,8 @@
                 ...options,
                 faults: this.faults,
                 demand: demandTask,
+                recoveredTerm,
+                steps: new StartSteps(logger),
                 getNamedLimit: endpoint => this.limitTask?.getNamedLimit(endpoint),
             });
             this.quarantineTask = new QuarantineTask(options);
--- a/packages/control/src/endpointTask.ts
+++ b/packages/control/src/endpointTask.ts
@@ -7,9 +7,19 @@
     findFactFault,
     pickFact,
 } from "@kumquathall/endpoint-registry";
-import { LoadBudget, OrderTracker, planEngineOrders, type PlannedOrder } from "@kumquathall/engine-groups";
+import {
+    hasCompleteView,
+    hasGroupFormedBefore,
+    isFleetSettled,
+    isPartitionWindowOver,
+    LoadBudget,
+    OrderTracker,
+    planEngineOrders,
+    type PlannedOrder,
+} from "@kumquathall/engine-groups";
 import { estimateServiceMs } from "@kumquathall/engine-model";
 import { describeError } from "@kumquathall/errors";
+import type { StartSteps } from "@kumquathall/kernel";
 import { castToAll, type Link } from "@kumquathall/link";
 import { InputFaultLog, type Logger } from "@kumquathall/logger";
 import type {
@@ -24,7 +34,6 @@
 import type { ControlStateMachine } from "./controlStateMachine.js";
 import type { DemandTask } from "./demandTask.js";
 import { FactFilter, hasOnlyLoadChange } from "./factFilter.js";
-import { isFleetSettled } from "./settling.js";
 
 export interface EndpointTaskOptions {
     runtime: ConsensusRuntime<Command, CommandResult>;
@@ -38,6 +47,10 @@
     demand?: Pick<DemandTask, "choosePlan">;
     /** Whether a data centre is evacuated; none is by default. */
     isEvacuated?: (dataCentre: string) => boolean;
+    /** Newest term that this member knew when its process started. */
+    recoveredTerm?: number;
+    /** Logs the steps from the start of this process to its first order. */
+    steps?: StartSteps;
 }
 
 const TICK_MS = 40;
@@ -50,12 +63,6 @@
 const CHANGE_COALESCE_MS = 5;
 /** The same for facts that change load only. */
 const LOAD_COALESCE_MS = 50;
-/** Time in which every sidecar links to a new leader, in milliseconds: two dials at the longest backoff and a report. */
-const DISCOVERY_MS = 5000;
-/** Longer than any expected partition between control and an endpoint that still serves, in milliseconds. */
-const MAX_PARTITION_MS = 15_000;
-/** Time in which joins that a former leader ordered are reported, in milliseconds; joins without a load take less. */
-const FORMER_LEADER_ORDERS_MS = 2000;
 /** An endpoint without facts for this long is dropped, in milliseconds; a shorter partition loses no endpoint. */
 const FORGET_AFTER_MS = 60_000;
 const TOO_MANY = "more endpoints are known than may be";
@@ -190,6 +197,7 @@
     recordTraffic(reporterId: string): void {
         if (!this.isTrafficSeen) {
             this.isTrafficSeen = true;
+            this.options.steps?.record("traffic");
             this.options.logger.info("traffic-begun", { teller: reporterId });
         }
     }
@@ -256,6 +264,7 @@
             this.leaderSince = now;
             return;
         }
+        this.options.steps?.record("leading");
         const { term } = runtime.getState().hardState;
         if (term !== this.term) {
             this.term = term;
@@ -304,6 +313,19 @@
             isEvacuating: views.some(view => this.isEvacuated(view)),
             now,
         });
+        const { recoveredTerm = 0 } = this.options;
+        if (!this.isTrafficSeen && hasGroupFormedBefore(views, (recoveredTerm + 1) * EPOCHS_PER_TERM)) {
+            this.recordTraffic("a group that stood before this process");
+        }
+        const { firstSeenAt, newestFirstSeenAt, leaderSince } = this;
+        const isSettled = isFleetSettled({ views, now, firstSeenAt, newestFirstSeenAt });
+        const isComplete = hasCompleteView({ now, firstSeenAt, newestFirstSeenAt, leaderSince });
+        if (isSettled) {
+            this.options.steps?.record("settled");
+        }
+        if (isComplete) {
+            this.options.steps?.record("complete-view");
+        }
         const planned = planEngineOrders({
             views,
             profile: demand?.profile ?? engine,
@@ -311,14 +333,9 @@
             isEvacuated: view => this.isEvacuated(view),
             now,
             isBeforeTraffic: !this.isTrafficSeen,
-            isSettled: isFleetSettled({
-                views,
-                now,
-                firstSeenAt: this.firstSeenAt,
-                newestFirstSeenAt: this.newestFirstSeenAt,
-            }),
-            hasCompleteView: this.isDiscoveryComplete(now),
-            isPartitionWindowOver: this.firstSeenAt !== undefined && now - this.firstSeenAt > MAX_PARTITION_MS,
+            isSettled,
+            hasCompleteView: isComplete,
+            isPartitionWindowOver: isPartitionWindowOver(now, firstSeenAt),
             fence: this.term,
             createEpoch: () => this.term * EPOCHS_PER_TERM + ++this.epochCount,
             isOrderPending: view => this.orders.isPending(view, now),
@@ -345,16 +362,11 @@
         return limit === undefined ? 1 : Math.min(1, limit * usualMs / MS_PER_SECOND);
     }
 
-    /** Whether every sidecar has had time to link, and a former leader's orders have had time to be reported. */
-    private isDiscoveryComplete(now: number): boolean {
-        return this.firstSeenAt !== undefined && now - this.firstSeenAt > DISCOVERY_MS
-            && now - this.leaderSince > FORMER_LEADER_ORDERS_MS;
-    }
-
     private recordEndpoint(id: string, now: number): void {
         if (!this.known.has(id)) {
             this.known.add(id);
             this.firstSeenAt ??= now;
+            this.options.steps?.record("first-endpoint");
             this.newestFirstSeenAt = now;
         }
     }
@@ -368,6 +380,7 @@
         this.orders.recordOrder(target, order, now);
         const message: OrderMessage = { kind: "order", address: target.address, bornMs: target.bornMs, order };
         link.cast(message);
+        this.options.steps?.record("first-order");
         this.options.logger.info("engine-order", {
             endpoint: target.id,
             address: target.address,
--- a/packages/control/src/membership.steps.ts
+++ b/packages/control/src/membership.steps.ts
@@ -1,10 +1,10 @@
 import { Given, Then, When } from "@cucumber/cucumber";
+import { isFleetSettled } from "@kumquathall/engine-groups";
 import { MemoryDisk } from "@kumquathall/storage";
 import { deepStrictEqual, match, strictEqual } from "node:assert";
 import type { FoundingSettings } from "./controlSettings.js";
 import { type MemberIdentity, readFoundingIdentity } from "./memberIdentity.js";
 import { computeGroupSize, type MemberChange, planMembership } from "./planMembership.js";
-import { isFleetSettled } from "./settling.js";
 
 const UNRESPONSIVE_MS = 10_000;
 
--- a/packages/engine-groups/src/demandPlanning.feature
+++ b/packages/engine-groups/src/demandPlanning.feature
@@ -42,6 +42,7 @@
         And at most 16 loads and 3 dissolved groups were needed
 
     # Guards against losses and additions that make rebalances in turn: each interrupts requests beyond those of the loss.
+    # Of 40 losses, at most one in ten may do so.
     Scenario Outline: Load pattern "churn": an engine is lost every 3 s and one is added every 3 s
         When the share of the large model is <share> for 120 s, and an engine is lost and one added every 3000 ms, with seed <seed>
         Then at most 4 groups were dissolved for another model
--- a/packages/engine-groups/src/demandPlanning.steps.ts
+++ b/packages/engine-groups/src/demandPlanning.steps.ts
@@ -2,6 +2,7 @@
 import { EngineGroupState, type EngineProfile } from "@kumquathall/types";
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { parseGroupName } from "./groupName.js";
+import { hasCompleteView, hasGroupFormedBefore, isFleetSettled } from "./settling.js";
 import { DemandFeed } from "./testing/demandFeed.js";
 import { EngineFleet } from "./testing/engineFleet.js";
 
@@ -272,3 +273,104 @@
 Then("{int} large groups serve in them", (count: number) => {
     strictEqual(listLargeDomains().filter(domain => fleet.evacuated.has(domain)).length, count);
 });
+
+/** When the planner first knows an endpoint from a heartbeat and from its sidecar, in milliseconds after the return. */
+interface Return {
+    heartbeatMs: number;
+    sidecarMs: number;
+}
+
+const OUTAGE_MS = 1300;
+/** Time from the return of control members until one leads, in milliseconds. */
+const ELECTION_MS = 900;
+
+let returns = new Map<string, Return>();
+let random = createRandom(1);
+let returnedAt = 0;
+
+/** Shows the planner what has reported since the return. */
+function showReports(): void {
+    const sinceMs = fleet.now - returnedAt;
+    for (const [id, { heartbeatMs, sidecarMs }] of returns) {
+        const isObserved = sinceMs >= sidecarMs;
+        if (
+            isObserved || (sinceMs >= heartbeatMs && fleet.listEngines().find(view => view.id === id)?.isLost === false)
+        ) {
+            fleet.showEngine(id, isObserved);
+        }
+    }
+    const known = [...returns.values()].map(item => item.heartbeatMs).filter(ms => ms <= sinceMs);
+    const firstSeenAt = known.length === 0 ? undefined : returnedAt + Math.min(...known);
+    fleet.hasLeader = sinceMs >= ELECTION_MS;
+    const newestFirstSeenAt = returnedAt + Math.max(0, ...known);
+    const leaderSince = returnedAt + ELECTION_MS;
+    fleet.hasCompleteView = hasCompleteView({ now: fleet.now, firstSeenAt, newestFirstSeenAt, leaderSince });
+    fleet.isSettled = isFleetSettled({ views: fleet.listKnown(), now: fleet.now, firstSeenAt, newestFirstSeenAt });
+}
+
+When(
+    "all control members lose power, and heartbeats arrive within {int} ms and sidecars within {int} ms, with seed {int}",
+    (heartbeatMs: number, sidecarMs: number, seed: number) => {
+        random = createRandom(seed);
+        ordersBefore = fleet.orders.length;
+        fleet.hasLeader = false;
+        fleet.advance(OUTAGE_MS);
+        returnedAt = fleet.now;
+        fleet.resetLeader();
+        fleet.demand?.resetLeader(false);
+        fleet.listEngines().forEach(view => fleet.hidden.add(view.id));
+        returns = new Map(
+            fleet.listEngines().map(view => {
+                const heartbeatAt = random() * heartbeatMs;
+                return [view.id, { heartbeatMs: heartbeatAt, sidecarMs: Math.max(heartbeatAt, random() * sidecarMs) }];
+            }),
+        );
+    },
+);
+
+When("the domain {string} is known only after {int} ms", (domain: string, ms: number) => {
+    for (const { id } of fleet.listEngines(domain)) {
+        const { heartbeatMs = 0, sidecarMs = 0 } = returns.get(id) ?? {};
+        returns.set(id, { heartbeatMs: heartbeatMs + ms, sidecarMs: sidecarMs + ms });
+    }
+});
+
+When("{int} endpoints are lost meanwhile", (count: number) => {
+    const engines = fleet.listEngines();
+    for (let at = 0; at < count; at++) {
+        fleet.crash(engines[Math.floor(random() * engines.length)].id);
+    }
+});
+
+When("the control members run for {int} s", (seconds: number) => {
+    samples = [];
+    for (const endsAt = fleet.now + seconds * 1000; fleet.now < endsAt;) {
+        showReports();
+        fleet.advance(40);
+        samples.push({ ms: fleet.now - returnedAt, large: countServing(LARGE), small: countServing(SMALL) });
+    }
+});
+
+Then("no order was given after the power failure", () => {
+    deepStrictEqual(fleet.orders.slice(ordersBefore).map(item => `${item.order.kind}: ${item.reason}`), []);
+});
+
+Then("no group was dissolved for another model", () => {
+    const rebalances = fleet.orders.slice(ordersBefore).filter(item => item.reason === REBALANCE_REASON);
+    strictEqual(rebalances.length, 0);
+    strictEqual(fleet.violations.length, 0);
+});
+
+Then("{int} groups serve after at most {int} s", (count: number, seconds: number) => {
+    const reached = samples.find(sample => sample.large + sample.small >= count);
+    ok(reached !== undefined && reached.ms <= seconds * 1000, `${reached?.ms} ms; ${fleet.listServing().join()}`);
+});
+
+Then("a leader that has restarted knows that callers have been served", () => {
+    const newest = Math.max(...fleet.listEngines().map(view => view.engine?.group?.epoch ?? 0));
+    ok(hasGroupFormedBefore(fleet.listEngines(), newest + 1));
+});
+
+Then("a leader that formed the groups itself does not", () => {
+    ok(!hasGroupFormedBefore(fleet.listEngines(), 0));
+});
--- a/packages/engine-groups/src/index.ts
+++ b/packages/engine-groups/src/index.ts
@@ -5,4 +5,12 @@
 export { OrderTracker } from "./orderTracker.js";
 export { type OrderPlanInput, planEngineOrders, type PlannedOrder } from "./planOrders.js";
 export { RebalanceHistory } from "./rebalanceHistory.js";
+export {
+    type FleetSettlingInput,
+    hasCompleteView,
+    hasGroupFormedBefore,
+    isFleetSettled,
+    isPartitionWindowOver,
+    type ViewCompletenessInput,
+} from "./settling.js";
 export { isDemandDriven, type ShareSelection, type ShareSelectionInput, ShareSelector } from "./shareSelector.js";
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -112,7 +112,10 @@
         this.collectFree(activeKeys);
         this.formGroups({ canLoad: this.input.isBeforeTraffic });
         if (!this.input.isBeforeTraffic) {
-            this.planRebalance();
+            // Groups whose members have not reported yet seem to be missing, and others would be dissolved for them.
+            if (this.input.hasCompleteView) {
+                this.planRebalance();
+            }
             this.planStragglers();
             this.formGroups({ canLoad: true });
         }
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -37,6 +37,8 @@
     isBeforeTraffic = true;
     hasCompleteView = true;
     isPartitionWindowOver = false;
+    isSettled = true;
+    hasLeader = true;
     /** Ids of endpoints that are hidden from the planner. */
     readonly hidden = new Set<string>();
     /** What the planner knows, from heartbeats only, of endpoints whose sidecar has started again and read nothing. */
@@ -82,6 +84,25 @@
         );
     }
 
+    /** Lists the endpoints as the planner knows them. */
+    listKnown(): EndpointView[] {
+        return this.listEngines().filter(view => !this.hidden.has(view.id)).map(view =>
+            this.heartbeats.get(view.id) ?? view
+        );
+    }
+
+    /** Lets the planner know an endpoint from a heartbeat of now, or from its sidecar. */
+    showEngine(id: string, isObserved: boolean): void {
+        const view = this.engines.get(id)?.view;
+        this.hidden.delete(id);
+        if (isObserved || view === undefined) {
+            this.heartbeats.delete(id);
+        }
+        else {
+            this.heartbeats.set(id, { ...view, isObserved: false, isLost: false, lastGroupName: undefined });
+        }
+    }
+
     /** Models of the groups that are open and complete now, one entry per group. */
     listServing(): string[] {
         return [...this.engines.values()].flatMap(engine => this.isServing(engine) ? [engine.lastModel ?? ""] : []);
@@ -220,9 +241,10 @@
     }
 
     private plan(): void {
-        const views = this.listEngines().filter(view => !this.hidden.has(view.id)).map(view =>
-            this.heartbeats.get(view.id) ?? view
-        );
+        if (!this.hasLeader) {
+            return;
+        }
+        const views = this.listKnown();
         views.forEach(view => this.tracker.applyReport(view, this.now));
         const shares = this.demand?.select(views.length, this.now);
         const planned = planEngineOrders({
@@ -232,7 +254,7 @@
             isEvacuated: view => this.evacuated.has(view.dataCentre),
             now: this.now,
             isBeforeTraffic: this.isBeforeTraffic,
-            isSettled: true,
+            isSettled: this.isSettled,
             hasCompleteView: this.hasCompleteView,
             isPartitionWindowOver: this.isPartitionWindowOver,
             fence: 1,
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -79,6 +79,8 @@
     onCrash?: (crash: EndpointCrash) => void;
     /** Resolves with whether an address refuses connections; endpoints without a sidecar are checked. */
     isRefusing?: (address: string) => Promise<boolean>;
+    /** Called when the first content of a response has arrived. */
+    onFirstContent?: () => void;
     /** Called when the responses of an endpoint first say that it is leaving. */
     onLeaving?: (fact: DepartureFact) => void;
 }
@@ -298,6 +300,7 @@
     /** Records that the first content of a response has arrived. */
     recordFirstContent(endpoint: TrackedEndpoint, sent: SentRequest, now: number): void {
         sent.firstContentAt = now;
+        this.options.onFirstContent?.();
         const { service } = endpoint.view;
         const mean = this.headLeadMs.get(service) ?? 0;
         this.headLeadMs.set(service, mean + EARLY_HEAD_WEIGHT * (now - (sent.headAt ?? now) - mean));
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -10,6 +10,7 @@
     type RoleContext,
     type RunningRole,
     selectUsable,
+    StartSteps,
 } from "@kumquathall/kernel";
 import { type Link, parseAddress } from "@kumquathall/link";
 import type { InputFaultLog } from "@kumquathall/logger";
@@ -88,6 +89,7 @@
     /** The work that callers offer to all gateways. */
     private readonly demandTotals = new DemandTotals();
     private readonly demandTimer: NodeJS.Timeout;
+    private readonly steps: StartSteps;
     /** Paces the bodies of all callers. */
     private readonly pacer = new ChunkPacer();
     /** The stop under way. */
@@ -102,6 +104,7 @@
         const { logger } = context;
         const faults = createInputFaultLog(context);
         this.faults = faults;
+        this.steps = new StartSteps(logger);
         this.metrics = registerGatewayMetrics(context.metrics, {
             countLimited: () => this.limits.count(performance.now()),
             countPaused: () => this.tracker.countPaused(performance.now()),
@@ -123,6 +126,7 @@
             logger,
             faults,
             onCrash: crash => this.crashReporter.reportCrash(crash, performance.now()),
+            onFirstContent: () => this.steps.record("first-answer"),
             onLeaving: fact => this.directory.castAll({ kind: "endpointFacts", facts: [fact] }),
         });
         const permits = new PermitClient(() => this.directory.listLinks());
@@ -164,7 +168,10 @@
             canComplete: durationMs =>
                 this.stop === undefined
                 || canAcceptWhileStopping(this.stopPlan, this.stop.getElapsedMs(), durationMs),
-            onFirstRequest: () => this.announceTraffic(),
+            onFirstRequest: () => {
+                this.steps.record("first-request");
+                this.announceTraffic();
+            },
             quarantine: this.quarantine,
             crashReporter: this.crashReporter,
             demand: this.demand,
@@ -263,6 +270,7 @@
     }
 
     private applyTable(table: RouteTable): void {
+        this.steps.record("configuration");
         const limits = table.getLimits();
         if (limits === undefined) {
             return;
@@ -279,6 +287,7 @@
     }
 
     private attachLink(link: Link): void {
+        this.steps.record("control-linked");
         // A restarted control process does not know that callers have been served.
         if (this.forwarder.hasReceivedRequests()) {
             link.cast({ kind: "trafficSeen" });
@@ -314,6 +323,7 @@
             this.reader.recordRevision(link, message.revision);
         }
         else if (message.kind === "endpointFacts") {
+            this.steps.record("first-endpoint");
             this.tracker.record(message.facts, performance.now(), link.peer?.id);
         }
         else if (message.kind === "endpointLimits") {
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,3 +6,4 @@
 export { getRolePlugin, listRolePlugins, registerRolePlugin } from "./registry.js";
 export { ADDRESS_LIST_SCHEMA, ADDRESS_SCHEMA } from "./schemas.js";
 export { readSettings, SettingsError, validateSettings } from "./settings.js";
+export { StartSteps } from "./startSteps.js";
