--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -10,6 +10,7 @@
     type RoleContext,
     type RunningRole,
     selectUsable,
+    StartSteps,
 } from "@kumquathall/kernel";
 import { type Link, LinkDialer, LinkListener, parseAddress, type PeerIdentity } from "@kumquathall/link";
 import type { InputFaultLog } from "@kumquathall/logger";
@@ -248,7 +249,7 @@
             metrics: context.metrics,
             logger: context.logger,
         });
-        this.openTasks();
+        this.openTasks(recovered.hardState.term);
         registerControlMetrics(context.metrics, {
             runtime: this.runtime,
             stateMachine: this.stateMachine,
@@ -276,7 +277,7 @@
     }
 
     /** Starts discovery and membership if the settings give seeds, and engine orders if the options ask for them. */
-    private openTasks(): void {
+    private openTasks(recoveredTerm: number): void {
         const { founding } = this.settings;
         const { logger } = this.context;
         if (founding !== undefined) {
@@ -312,6 +313,8 @@
                 ...options,
                 faults: this.faults,
                 demand: demandTask,
+                recoveredTerm,
+                steps: new StartSteps(logger),
                 getNamedLimit: endpoint => this.limitTask?.getNamedLimit(endpoint),
                 isEvacuated: dataCentre =>
                     isDataCentreEvacuated(this.stateMachine.getState().configuration, dataCentre),
