Let the requests of others end one after another, and compare predictions and uneven groups

Cause: each request of other gateways counted with the mean of what remains, so that the first of 34 slots counted as free only after that mean. Change: quantiles of an exponential distribution in place of the mean. The bench prints the error of predictions and runs a mix with slow groups.

--- a/packages/bench/src/choicePolicies.ts
+++ b/packages/bench/src/choicePolicies.ts
@@ -16,6 +16,9 @@
 export abstract class ChoicePolicy {
     constructor(protected readonly options: ChoicePolicyOptions) {}
 
+    /** Predicted first event of the latest choice, in milliseconds; `undefined` if the policy predicts none. */
+    predictedMs: number | undefined;
+
     /** Chooses the index of a group. */
     abstract choose(request: SimulatedRequest, now: number): number;
     recordSent?(request: SimulatedRequest, group: number, now: number): void;
@@ -51,6 +54,7 @@
             timeToAbandonmentMs: Number.POSITIVE_INFINITY,
             random: 0,
         });
+        this.predictedMs = choice.kind === "send" ? choice.predictedMs : undefined;
         return choice.kind === "send" ? Number(choice.endpointId) : 0;
     }
 }
--- a/packages/bench/src/choiceSimulation.ts
+++ b/packages/bench/src/choiceSimulation.ts
@@ -25,6 +25,9 @@
     /** Fraction of requests with a gap between events above the objective. */
     pausedFraction: number;
     preemptions: number;
+    /** Median of the difference between actual and predicted first event, and mean of its absolute value; NaN without. */
+    biasMs: number;
+    errorMs: number;
     requests: number;
 }
 
@@ -52,14 +55,28 @@
     longFraction: number;
     /** Offered work at a moment relative to the mean. */
     computeRate: (now: number) => number;
+    /** Factor by which a group is slower than its profile. */
+    computePace: (group: number) => number;
 }
 
 const WAVE_MS = 20_000;
 const LONG_FACTOR = 10;
+/** Every fourth group is slow. */
+const SLOW_INTERVAL = 4;
+const SLOW_PACE = 2;
 export const CHOICE_MIXES: Record<string, Mix> = {
-    uniform: { longFraction: 0, computeRate: () => 1 },
-    "long tenth": { longFraction: 0.1, computeRate: () => 1 },
-    wave: { longFraction: 0.1, computeRate: now => 1 + 0.5 * Math.sin(now / WAVE_MS * 2 * Math.PI) },
+    "uniform": { longFraction: 0, computeRate: () => 1, computePace: () => 1 },
+    "long tenth": { longFraction: 0.1, computeRate: () => 1, computePace: () => 1 },
+    "wave": {
+        longFraction: 0.1,
+        computeRate: now => 1 + 0.5 * Math.sin(now / WAVE_MS * 2 * Math.PI),
+        computePace: () => 1,
+    },
+    "uneven": {
+        longFraction: 0.1,
+        computeRate: () => 1,
+        computePace: group => group % SLOW_INTERVAL === 0 ? SLOW_PACE : 1,
+    },
 };
 
 /** Hints are off by a factor of two in a third of the requests. */
@@ -79,17 +96,9 @@
     const queue = new EventQueue();
     const requests: SimulatedRequest[] = [];
     const groupOf = new Map<SimulatedRequest, number>();
-    const groups = Array.from(
-        { length: options.groups },
-        () =>
-            new SimulatedGroup(
-                profile,
-                model,
-                1,
-                (delayMs, run) => queue.schedule(queue.now + delayMs, run),
-                recordEvent,
-            ),
-    );
+    const paces = Array.from({ length: options.groups }, (_, at) => mix.computePace(at));
+    const schedule = (delayMs: number, run: () => void) => queue.schedule(queue.now + delayMs, run);
+    const groups = paces.map(pace => new SimulatedGroup(profile, model, pace, schedule, recordEvent));
     const policyDraw = createRandom(options.seed + 1);
     const policies: ChoicePolicy[] = Array.from(
         { length: options.gateways },
@@ -120,13 +129,14 @@
     const shortMs = estimateServiceMs(profile, model, usualPromptTokens, usualAnswerTokens);
     const longMs = estimateServiceMs(profile, model, usualPromptTokens * LONG_FACTOR, usualAnswerTokens * LONG_FACTOR);
     const meanMs = shortMs * (1 - mix.longFraction) + longMs * mix.longFraction;
-    const perMs = options.groups * options.utilization / meanMs;
+    const perMs = paces.reduce((sum, pace) => sum + 1 / pace, 0) * options.utilization / meanMs;
 
     function handleArrival(): void {
         const request = createRequest(draw, mix.longFraction, options.gateways, queue.now);
         requests.push(request);
         const policy = policies[request.gateway];
         const group = policy.choose(request, queue.now);
+        request.predictedMs = policy.predictedMs;
         groupOf.set(request, group);
         policy.recordSent?.(request, group, queue.now);
         groups[group].submit(request);
@@ -161,7 +171,12 @@
     const listFirst = (items: SimulatedRequest[]) => items.map(item => (item.firstEventAt ?? 0) - item.arrivedAt);
     const short = listFirst(requests.filter(request => request.isShort));
     const long = listFirst(requests.filter(request => !request.isShort));
+    const errors = requests.flatMap(item =>
+        item.predictedMs === undefined ? [] : (item.firstEventAt ?? 0) - item.arrivedAt - item.predictedMs
+    );
     return {
+        biasMs: computePercentile(errors, 0.5),
+        errorMs: errors.reduce((sum, error) => sum + Math.abs(error), 0) / errors.length,
         allP50: computePercentile(listFirst(requests), 0.5),
         shortP50: computePercentile(short, 0.5),
         shortP95: computePercentile(short, 0.95),
@@ -185,6 +200,7 @@
         answerTokens,
         answerTokensHint: Math.ceil(answerTokens * Math.exp(HINT_DEVIATION * pickNormal(draw))),
         arrivedAt: now,
+        predictedMs: undefined,
         promptLeft: promptTokens,
         emittedTokens: 0,
         firstEventAt: undefined,
--- a/packages/bench/src/endpointChoice.ts
+++ b/packages/bench/src/endpointChoice.ts
@@ -17,8 +17,12 @@
     run: print => {
         const shortP95 = new Map<string, number>();
         for (const mix of Object.keys(CHOICE_MIXES)) {
-            print(`${mix}: first events in ms, means of ${SEEDS.length} seeds`);
-            print(`  ${"policy".padEnd(NAME_WIDTH)}  all p50  short p50  short p95  long p95  paused %  preempted`);
+            print(`${mix}: first events and errors of their predictions in ms, means of ${SEEDS.length} seeds`);
+            print(
+                `  ${
+                    "policy".padEnd(NAME_WIDTH)
+                }  all p50  short p50  short p95  long p95  paused %  bias ms  error ms`,
+            );
             for (const policy of Object.keys(CHOICE_POLICIES)) {
                 const results = SEEDS.map(seed =>
                     runChoiceSimulation({
@@ -41,7 +45,8 @@
                     mean(result => result.shortP95).toFixed(0).padStart(9),
                     mean(result => result.longP95).toFixed(0).padStart(8),
                     (100 * mean(result => result.pausedFraction)).toFixed(1).padStart(8),
-                    mean(result => result.preemptions).toFixed(0).padStart(9),
+                    mean(result => result.biasMs).toFixed(0).padStart(7),
+                    mean(result => result.errorMs).toFixed(0).padStart(8),
                 ].join("  "));
             }
         }
--- a/packages/bench/src/simulatedGroup.ts
+++ b/packages/bench/src/simulatedGroup.ts
@@ -9,6 +9,8 @@
     answerTokens: number;
     answerTokensHint: number;
     arrivedAt: number;
+    /** First event as the policy predicted it, in milliseconds after the arrival. */
+    predictedMs: number | undefined;
     promptLeft: number;
     emittedTokens: number;
     firstEventAt: number | undefined;
--- a/packages/gateway/src/endpointTracker.ts
+++ b/packages/gateway/src/endpointTracker.ts
@@ -19,6 +19,7 @@
 import { EndpointPool } from "./endpointPool.js";
 import { FactFlow } from "./factFlow.js";
 import { isRefusingConnections } from "./isRefusingConnections.js";
+import { recordEngineReport } from "./recordEngineReport.js";
 
 /** One endpoint with its connection pool and this gateway's requests in flight. */
 export interface TrackedEndpoint {
@@ -108,8 +109,6 @@
 /** Fraction of an endpoint's connections that one gateway may use; several gateways share the endpoint. */
 const CONNECTION_FRACTION = 1 / 8;
 const MIN_CONNECTIONS = 4;
-/** Age of an engine's state when its report arrives, in milliseconds. */
-const REPORT_LAG_MS = 200;
 const UNKNOWN_REQUEST: TypicalRequest = { promptTokens: 0, answerTokens: 0, remainingTokens: 0 };
 
 /** Tracks the endpoints from the facts that control members send, with this gateway's requests in flight at each. */
@@ -491,26 +490,6 @@
     return contentMs < RUNNING_AFTER_MS ? AttemptStage.Unknown : AttemptStage.Running;
 }
 
-/** Records the engine's load in a view; a plain endpoint reports none in its facts. */
-function recordEngineReport(work: EndpointWork<SentRequest>, { bornMs, engine, engineReportedAt }: EndpointView): void {
-    if (engine === undefined) {
-        return;
-    }
-    if (engineReportedAt < (work.getReportedAt() ?? engineReportedAt)) {
-        // The sidecar's observation no longer shows the engine, and the heartbeat before it is in use again.
-        work.clearReport();
-    }
-    const { running, waiting, kvUsedTokens } = engine;
-    work.recordReport({
-        incarnation: bornMs,
-        receivedAt: engineReportedAt,
-        lagMs: REPORT_LAG_MS,
-        running,
-        waiting,
-        kvUsedTokens,
-    });
-}
-
 function findSlowestPace(members: EndpointView[]): number {
     return Math.max(...members.map(member => member.engine?.pace ?? 1));
 }
--- a/packages/request-cost/src/endpointWork.ts
+++ b/packages/request-cost/src/endpointWork.ts
@@ -202,7 +202,9 @@
         for (let at = 0; at < running + waiting; at++) {
             const isWaiting = at >= running;
             requests.push({
-                remainingTokens: isWaiting ? typical.answerTokens : typical.remainingTokens,
+                remainingTokens: isWaiting
+                    ? typical.answerTokens
+                    : computeQuantile(typical.remainingTokens, (at + 0.5) / running),
                 contextTokens: isWaiting ? 0 : othersContext,
                 pendingPromptTokens: isWaiting ? typical.promptTokens : 0,
                 priority: undefined,
@@ -252,6 +254,14 @@
     return additionMs * (OWN_WEIGHT * ownRequests + random);
 }
 
+/**
+ * Quantile of an exponential distribution. Were all that run to end at the mean, the first slot would count as free far
+ * too late.
+ */
+function computeQuantile(mean: number, fraction: number): number {
+    return -mean * Math.log(1 - fraction);
+}
+
 function isRecent({ endedAt }: OwnRequest, now: number): boolean {
     return endedAt !== undefined && now - endedAt < ENDED_MEMORY_MS;
 }
--- a/packages/request-cost/src/requestCost.feature
+++ b/packages/request-cost/src/requestCost.feature
@@ -55,6 +55,11 @@
         When a report of time 1000 and incarnation 1 states 4 running requests
         Then 4 requests count as being there, 2 of them of others
 
+    # Guards against the mean for each of others' requests, by which the first of many slots would be free far too late.
+    Scenario: The requests of others end one after another
+        Given an endpoint whose report of time 1000 states 34 running requests
+        Then the first of them has at most 5 of 50 tokens left, and all together 45 to 55 on average
+
     # Guards against estimates that stay at their first value, or fall to nothing when a request outlives them.
     Scenario: Each event corrects what remains of a request, and one that outlives its estimate still has work
         Given an endpoint with a request of about 100 tokens
--- a/packages/request-cost/src/requestCost.steps.ts
+++ b/packages/request-cost/src/requestCost.steps.ts
@@ -150,6 +150,16 @@
     strictEqual(requests.length - work.countOwn(), others);
 });
 
+Then(
+    "the first of them has at most {int} of {int} tokens left, and all together {int} to {int} on average",
+    (most: number, remainingTokens: number, min: number, max: number) => {
+        const left = work.estimateGroup({ ...TYPICAL, remainingTokens }).requests.map(item => item.remainingTokens);
+        const mean = left.reduce((sum, tokens) => sum + tokens, 0) / left.length;
+        ok(Math.min(...left) <= most);
+        ok(mean >= min && mean <= max, `${mean}`);
+    },
+);
+
 Given("an endpoint with a request of about 100 tokens", () => {
     work = new EndpointWork(INCARNATION);
     work.addGeneration(request, COST, 1, 0, 0);
