--- a/packages/bench/src/endpointChoice.steps.ts
+++ b/packages/bench/src/endpointChoice.steps.ts
@@ -8,11 +8,11 @@
 let expectedWorkMs = 0;
 
 When(
-    "{int} gateways send to {int} groups at a utilization of {float} for {int} s of virtual time, with seed {int}",
-    (gateways: number, groups: number, utilization: number, seconds: number, seed: number) => {
+    "{int} gateways send the mix {string} to {int} groups at a utilization of {float} for {int} s of virtual time, with seed {int}",
+    (gateways: number, mix: string, groups: number, utilization: number, seconds: number, seed: number) => {
         const durationMs = seconds * MS_PER_SECOND;
         runPolicy = policy =>
-            runChoiceSimulation({ policy, mix: "long tenth", seed, groups, gateways, utilization, durationMs })
+            runChoiceSimulation({ policy, mix, seed, groups, gateways, utilization, durationMs })
                 .shortP95;
         expectedWorkMs = runPolicy("expected work");
     },
