Share a model's capacity by rank and account while more is offered than its groups can serve

Cause: a gateway admitted by the predicted first event only. Above the capacity, less urgent requests took slots from urgent ones, late answers held slots up to 0.95 of them, and refused requests were told 150 to 2,000 ms, returned together and were refused again. Refused requests are told a time with room, or the end of their time if there is none. Retries and begun streams follow the former rule.

--- a/packages/gateway/src/chooseReplicaGroup.ts
+++ b/packages/gateway/src/chooseReplicaGroup.ts
@@ -1,3 +1,4 @@
+import type { SharingRefusalValue } from "@kumquathall/capacity-sharing";
 import { type GroupLoad, predictFirstEventMs } from "@kumquathall/engine-model";
 import type { EngineModelProfile, EngineProfile } from "@kumquathall/types";
 
@@ -10,11 +11,25 @@
     failureScore: number;
 }
 
+/** Prediction for the best group, with the state of all groups that serve the model. */
+export interface GroupPrediction {
+    predictedMs: number;
+    /** Time until the first event at an idle group by its profile, in milliseconds. */
+    idleMs: number;
+    /** Used fraction of the slots of the best group, and of all groups. */
+    groupUsedFraction: number;
+    usedFraction: number;
+    /** Work that all groups can do in a second, in endpoint-milliseconds. */
+    capacityMs: number;
+}
+
 export interface ReplicaGroupChoiceInput {
     profile: EngineProfile;
     model: EngineModelProfile;
     promptTokens: number;
     candidates: ReplicaGroupCandidate[];
+    /** Loads of groups that serve the model and can't be chosen now. */
+    otherLoads?: GroupLoad[];
     /** Measured delay of first events beyond the profile's prediction, in milliseconds. */
     firstEventBiasMs: number;
     /** Time left until the latency objective of the first event is missed, in milliseconds; negative afterwards. */
@@ -23,12 +38,26 @@
     timeToAbandonmentMs: number;
     /** Random number in [0, 1) that spreads the retries of refused callers. */
     random: number;
+    /**
+     * Decides whether a request gets a part of the capacity. Without it, a request is sent if it is in time, or late where
+     * a slot is free.
+     */
+    decide?: (prediction: GroupPrediction) => SharingRefusalValue | undefined;
 }
 
 export type ReplicaGroupChoice =
     | { kind: "send"; endpointId: string; predictedMs: number; isOnTime: boolean }
-    /** No group can serve it in time, or a late response would delay others. Retry after `retryAfterMs`. */
-    | { kind: "refuse"; retryAfterMs: number; predictedMs: number }
+    /** No group can serve it in time, or its response would delay others. Retry after `retryAfterMs`. */
+    | {
+        kind: "refuse";
+        retryAfterMs: number;
+        predictedMs: number;
+        /** Time by which the objective would be missed, in milliseconds. */
+        excessMs: number;
+        capacityMs: number;
+        /** The refusal of `decide`; `undefined` without it. */
+        reason: SharingRefusalValue | undefined;
+    }
     | { kind: "none" };
 
 /**
@@ -41,13 +70,13 @@
 /** Bounds of the retry-after time of refused callers, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 150;
 const MAX_RETRY_AFTER_MS = 2000;
+const MS_PER_SECOND = 1000;
 
-/** Chooses the group with the earliest predicted first event, or refuses a request that no group can serve in time. */
+/** Chooses the group with the earliest predicted first event, or refuses a request that no group should serve. */
 export function chooseReplicaGroup(input: ReplicaGroupChoiceInput): ReplicaGroupChoice {
     let best: { candidate: ReplicaGroupCandidate; predictedMs: number; cost: number } | undefined;
     for (const candidate of input.candidates) {
-        const predictedMs = input.firstEventBiasMs
-            + predictFirstEventMs(input.profile, input.model, candidate.load, input.promptTokens);
+        const predictedMs = predictMs(input, candidate.load);
         const cost = predictedMs * (1 + FAILURE_COST_FACTOR * candidate.failureScore);
         if (best === undefined || cost < best.cost) {
             best = { candidate, predictedMs, cost };
@@ -58,12 +87,33 @@
     }
     const { candidate, predictedMs } = best;
     const isOnTime = predictedMs <= input.timeToObjectiveMs;
-    const utilization = (candidate.load.running + candidate.load.waiting) / input.profile.slots;
-    if (isOnTime || (utilization < LATE_SLOT_FRACTION && predictedMs < input.timeToAbandonmentMs)) {
+    const prediction = buildPrediction(input, candidate.load, predictedMs);
+    const reason = input.decide?.(prediction);
+    const isAccepted = input.decide !== undefined ? reason === undefined : isOnTime
+        || (prediction.groupUsedFraction < LATE_SLOT_FRACTION && predictedMs < input.timeToAbandonmentMs);
+    if (isAccepted) {
         return { kind: "send", endpointId: candidate.endpointId, predictedMs, isOnTime };
     }
     const excessMs = predictedMs - Math.max(0, input.timeToObjectiveMs);
     const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, excessMs))
         * (0.75 + input.random / 2);
-    return { kind: "refuse", retryAfterMs, predictedMs };
+    return { kind: "refuse", retryAfterMs, predictedMs, excessMs, capacityMs: prediction.capacityMs, reason };
+}
+
+function predictMs(input: ReplicaGroupChoiceInput, load: GroupLoad): number {
+    return input.firstEventBiasMs + predictFirstEventMs(input.profile, input.model, load, input.promptTokens);
+}
+
+function buildPrediction(input: ReplicaGroupChoiceInput, chosen: GroupLoad, predictedMs: number): GroupPrediction {
+    const { profile, model, candidates, otherLoads = [] } = input;
+    const loads = [...candidates.map(({ load }) => load), ...otherLoads];
+    const countUsed = (load: GroupLoad) => load.running + load.waiting;
+    const idle = { running: 0, waiting: 0, pendingPrefillTokens: 0, kvUsedTokens: 0, pace: chosen.pace };
+    return {
+        predictedMs,
+        idleMs: predictFirstEventMs(profile, model, idle, input.promptTokens),
+        groupUsedFraction: countUsed(chosen) / profile.slots,
+        usedFraction: loads.reduce((sum, load) => sum + countUsed(load), 0) / (profile.slots * loads.length),
+        capacityMs: loads.reduce((sum, load) => sum + model.groupSize * MS_PER_SECOND / load.pace, 0),
+    };
 }
--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -1,27 +1,26 @@
-import type { EngineModelProfile, EngineProfile, TrafficRoute } from "@kumquathall/types";
+import type { EngineModelProfile, EngineProfile } from "@kumquathall/types";
 import { chooseLeastLoadedEndpoint } from "./chooseLeastLoadedEndpoint.js";
-import { chooseReplicaGroup } from "./chooseReplicaGroup.js";
+import { chooseReplicaGroup, type ReplicaGroupChoice } from "./chooseReplicaGroup.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker, TrackedEndpoint } from "./endpointTracker.js";
 import type { FirstEventBiasEstimator } from "./firstEventBiasEstimator.js";
-import type { RequestHead } from "./httpHeaderCodec.js";
 import { type Refusal, RefusalCause } from "./refusal.js";
+import { RequestShare, type RequestShareOptions, type ShareRecord } from "./requestShare.js";
 import type { RouteTable } from "./routeTable.js";
 
-export interface EndpointChooserOptions {
+export interface EndpointChooserOptions extends RequestShareOptions {
     table: RouteTable;
     tracker: EndpointTracker;
     limits: EndpointLimits;
     bias: FirstEventBiasEstimator;
-    route: TrafficRoute;
-    service: string;
-    head: RequestHead;
 }
 
 export interface EndpointChoiceTimes {
     now: number;
     timeToObjectiveMs: number;
     timeToAbandonmentMs: number;
+    /** Time to the request's deadline. */
+    timeLeftMs: number;
 }
 
 /** The endpoint to send a request to, or the refusal if there is none; the other fields are logged. */
@@ -39,6 +38,10 @@
     limited: number;
     /** Time until a permit can make an endpoint available that meets the objective, in milliseconds. */
     permitWaitMs: number | undefined;
+    /** The refusal by the best group's state. */
+    refused?: Extract<ReplicaGroupChoice, { kind: "refuse" }>;
+    /** How the capacity is shared; `undefined` for plain services and for requests that have been sent before. */
+    share?: ShareRecord;
 }
 
 /** Usual time to repair a group with a standby, in milliseconds: detect the loss, join the members, open the head. */
@@ -50,6 +53,7 @@
 export class EndpointChooser {
     /** Endpoint for which the latest choice has called for a permit. */
     private wanted: { key: string; afterCall: number } | undefined;
+    private share: RequestShare | undefined;
 
     constructor(private readonly options: EndpointChooserOptions) {}
 
@@ -71,7 +75,15 @@
             return this.choosePlain(endpoints, times);
         }
         const model = engine.models.find(item => item.name === head.model);
-        return model === undefined ? buildChoice() : this.chooseHead(engine, model, endpoints, times);
+        if (model === undefined) {
+            return buildChoice();
+        }
+        // What has been sent once keeps its part of the capacity.
+        const share = triedKeys.size > 0
+            ? undefined
+            : this.share ??= new RequestShare(this.options, engine, model, now);
+        const choice = this.chooseHead({ engine, model, share }, endpoints, times);
+        return share === undefined ? choice : completeShare(share, choice, times);
     }
 
     /** Builds the refusal of a request that no endpoint takes because of a pause, with the time at which one ends. */
@@ -120,19 +132,19 @@
     }
 
     private chooseHead(
-        engine: EngineProfile,
-        model: EngineModelProfile,
+        target: ModelTarget,
         { permitted, limited }: EndpointsByPermit,
         times: EndpointChoiceTimes,
     ): EndpointChoice {
-        const choice = this.chooseGroup(engine, model, permitted, times);
+        const choice = this.chooseGroup(target, permitted, limited, times);
         choice.candidates = permitted.length + limited.length;
         choice.limited = limited.length;
         if (limited.length === 0) {
             return choice;
         }
         const next = this.listNextPermitted(limited, times.now);
-        const best = this.chooseGroup(engine, model, [...permitted, ...next], times);
+        const others = limited.filter(endpoint => !next.includes(endpoint));
+        const best = this.chooseGroup(target, [...permitted, ...next], others, times);
         if (choice.endpoint === undefined && best.endpoint === undefined) {
             return { ...best, candidates: choice.candidates, limited: choice.limited };
         }
@@ -151,10 +163,11 @@
         return split;
     }
 
+    /** Chooses one of the `endpoints`; the others count only as capacity. */
     private chooseGroup(
-        engine: EngineProfile,
-        model: EngineModelProfile,
+        { engine, model, share }: ModelTarget,
         endpoints: TrackedEndpoint[],
+        others: TrackedEndpoint[],
         times: EndpointChoiceTimes,
     ): EndpointChoice {
         const { tracker, head, bias } = this.options;
@@ -167,10 +180,12 @@
                 load: tracker.estimateLoad(endpoint),
                 failureScore: endpoint.health.getFailureScore(times.now),
             })),
+            otherLoads: others.map(endpoint => tracker.estimateLoad(endpoint)),
             firstEventBiasMs: bias.get(model.name),
             timeToObjectiveMs: times.timeToObjectiveMs,
             timeToAbandonmentMs: times.timeToAbandonmentMs,
             random: Math.random(),
+            decide: share === undefined ? undefined : prediction => share.decide(prediction, times),
         });
         switch (choice.kind) {
             case "none":
@@ -179,6 +194,7 @@
                 return buildChoice({
                     refusal: { ...RefusalCause.NoRoom, retryAfterMs: choice.retryAfterMs },
                     predictedMs: choice.predictedMs,
+                    refused: choice,
                 });
             case "send":
                 return buildChoice({
@@ -224,6 +240,13 @@
     }
 }
 
+/** A model of a service with the request's part of its capacity; `undefined` once the request has been sent. */
+interface ModelTarget {
+    engine: EngineProfile;
+    model: EngineModelProfile;
+    share: RequestShare | undefined;
+}
+
 /** Endpoints of which this gateway has a permit, unlimited ones among them, and the others. */
 interface EndpointsByPermit {
     permitted: TrackedEndpoint[];
@@ -235,6 +258,21 @@
     return Math.max(MIN_RETRY_AFTER_MS, ms * (1 + Math.random() / 4));
 }
 
+/** Schedules the return of a request that is refused for lack of capacity, and records the decision. */
+function completeShare(share: RequestShare, choice: EndpointChoice, times: EndpointChoiceTimes): EndpointChoice {
+    const { endpoint, permitWaitMs, refusal, refused } = choice;
+    if (endpoint === undefined && permitWaitMs !== undefined) {
+        return choice;
+    }
+    if (endpoint === undefined && refused !== undefined && refusal.name === RefusalCause.NoRoom.name) {
+        const retryAfterMs = share.scheduleReturn(refused, times.timeLeftMs, times.now);
+        share.report(times.now);
+        return { ...choice, refusal: { ...refusal, retryAfterMs }, share: share.describe() };
+    }
+    share.report(times.now);
+    return { ...choice, share: share.describe() };
+}
+
 /** Builds the choice of no endpoint, with what differs from it. */
 function buildChoice(choice: Partial<EndpointChoice> = {}): EndpointChoice {
     return {
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -204,6 +204,7 @@
             now,
             timeToObjectiveMs: this.getTimeToObjectiveMs(now),
             timeToAbandonmentMs: this.timing.getTimeToAbandonmentMs(now, this.answer.lastByteAt),
+            timeLeftMs: this.timing.getRemainingMs(now),
         });
         return this.choice;
     }
--- a/packages/gateway/src/forwardedRequestOptions.ts
+++ b/packages/gateway/src/forwardedRequestOptions.ts
@@ -1,9 +1,11 @@
 import type { ByteBudget } from "@kumquathall/byte-collector";
+import type { CapacitySharing } from "@kumquathall/capacity-sharing";
 import type { Logger } from "@kumquathall/logger";
 import type { TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AnswerFlow } from "./answerFlow.js";
 import type { CallerConnections } from "./callerConnections.js";
+import type { CapacityReporter } from "./capacityReporter.js";
 import type { CrashReporter } from "./crashReporter.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { EndpointTracker } from "./endpointTracker.js";
@@ -44,6 +46,8 @@
     /** Estimated time between the caller's first attempt and the arrival of this request, in milliseconds. */
     ageMs: number;
     limits: EndpointLimits;
+    sharing: CapacitySharing;
+    reporter: CapacityReporter;
     quarantine: QuarantineList;
     crashReporter: CrashReporter;
     /** Memory of the incomplete responses and events of all requests. */
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -1,9 +1,11 @@
 import { ByteBudget } from "@kumquathall/byte-collector";
+import { CapacitySharing, type DemandTotal, type ScheduledReturns } from "@kumquathall/capacity-sharing";
 import type { Logger } from "@kumquathall/logger";
 import type { SuspectRecord } from "@kumquathall/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AnswerFlow } from "./answerFlow.js";
 import { type CallerConnections, CloseReason } from "./callerConnections.js";
+import { CapacityReporter } from "./capacityReporter.js";
 import type { CrashReporter } from "./crashReporter.js";
 import { DurationEstimator } from "./durationEstimator.js";
 import type { EndpointLimits } from "./endpointLimits.js";
@@ -65,6 +67,8 @@
     private readonly readingBody = new Set<() => void>();
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly bias = new FirstEventBiasEstimator();
+    private readonly sharing: CapacitySharing;
+    private readonly reporter: CapacityReporter;
     private readonly bodyBytes = new ByteBudget(MAX_BODY_BYTES);
     private readonly answerBytes = new ByteBudget(MAX_ANSWER_BYTES);
     private readonly unreadEventBytes = new ByteBudget(MAX_UNREAD_EVENT_BYTES);
@@ -77,6 +81,9 @@
 
     constructor(private readonly options: ForwarderOptions) {
         this.invalidResponses = new InvalidResponses(options.logger, options.metrics.invalidResponses);
+        this.sharing = new CapacitySharing({ countGateways: options.countGateways });
+        const { logger, metrics: { admittedFraction } } = options;
+        this.reporter = new CapacityReporter({ logger, admittedFraction });
         this.answerFlow = new AnswerFlow({
             countHeldBytes: () => this.answerBytes.getHeld() + this.unreadAnswers.getHeld(),
         });
@@ -106,6 +113,16 @@
         };
     }
 
+    /** Records the demand over all gateways, as control sums it. */
+    recordTotals(items: readonly DemandTotal[], now: number): void {
+        this.sharing.recordTotals(items, now);
+    }
+
+    /** Counts the requests that have been refused and told to return later, by model. */
+    listReturns(now: number): ScheduledReturns[] {
+        return this.sharing.listReturns(now);
+    }
+
     /** Gives every request in flight its final answer, since the process ends. */
     endAll(): void {
         [...this.readingBody].forEach(refuseUnread => refuseUnread());
@@ -243,6 +260,8 @@
                 configurationVersion,
                 tracker: this.options.tracker,
                 limits: this.options.limits,
+                sharing: this.sharing,
+                reporter: this.reporter,
                 connections: this.options.connections,
                 isStopping,
                 codec,
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -1,4 +1,5 @@
 import { attachPacer, ChunkPacer } from "@kumquathall/byte-collector";
+import type { DemandTotal } from "@kumquathall/capacity-sharing";
 import { ControlDirectory } from "@kumquathall/control-directory";
 import { findCrashFault, findLimitFault } from "@kumquathall/endpoint-registry";
 import { describeError } from "@kumquathall/errors";
@@ -57,7 +58,8 @@
     | RevisionCast
     | { kind: "endpointFacts"; facts: EndpointFact[] }
     | { kind: "crashEvidence"; facts: CrashEvidenceFact[] }
-    | { kind: "endpointLimits"; facts: LimitFact[] };
+    | { kind: "endpointLimits"; facts: LimitFact[] }
+    | { kind: "demandTotals"; items: DemandTotal[] };
 
 const STALE_CHECK_MS = 5000;
 /** Largest header block that is parsed, in bytes. */
@@ -98,6 +100,7 @@
             countLimited: () => this.limits.count(performance.now()),
             countPaused: () => this.tracker.countPaused(performance.now()),
             countHeldBytes: () => this.forwarder.countHeldBytes(),
+            listReturns: () => this.forwarder.listReturns(performance.now()),
         });
         this.stopPlan = planStop(settings.stopWithinMs);
         this.quarantine = new QuarantineList(logger);
@@ -311,6 +314,9 @@
                 performance.now(),
             );
         }
+        else if (message.kind === "demandTotals") {
+            this.forwarder.recordTotals(message.items, performance.now());
+        }
         else {
             this.crashReporter.recordFacts(
                 selectUsable({ ...selection, kind: "crash-evidence", facts: message.facts, findFault: findCrashFault }),
--- a/packages/gateway/src/invalidResponses.steps.ts
+++ b/packages/gateway/src/invalidResponses.steps.ts
@@ -20,6 +20,7 @@
                 countLimited: () => 0,
                 countPaused: () => 0,
                 countHeldBytes: () => ({}),
+                listReturns: () => [],
             });
             const logger = createLogger({ level: "info", write: line => lines.push(line) });
             const responses = new InvalidResponses(logger, metrics.invalidResponses);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,3 +1,4 @@
+import type { ScheduledReturns } from "@kumquathall/capacity-sharing";
 import { Counter, Gauge, Histogram, type Registry } from "prom-client";
 
 /** Metrics of a gateway. */
@@ -15,6 +16,7 @@
     invalidResponses: Counter<"reason">;
     unreadAnswersCut: Counter;
     requestFaults: Counter;
+    admittedFraction: Gauge<"service" | "model" | "rank">;
 }
 
 export interface GatewayMetricsOptions {
@@ -24,6 +26,8 @@
     countPaused: () => number;
     /** Counts the bytes that are held for peers, by what they are. */
     countHeldBytes: () => Record<string, number>;
+    /** Counts the requests that have been told to return later, by model. */
+    listReturns: () => ScheduledReturns[];
 }
 
 /** Bucket bounds in seconds: objectives are some hundred milliseconds, deadlines some seconds. */
@@ -56,6 +60,15 @@
             Object.entries(options.countHeldBytes()).forEach(([kind, bytes]) => this.set({ kind }, bytes));
         },
     });
+    new Gauge({
+        name: "kumquathall_gateway_returns_scheduled",
+        help: "Refused requests that have been told a later time at which there is room for them",
+        labelNames: ["service", "model"],
+        registers,
+        collect() {
+            options.listReturns().forEach(({ service, model, count }) => this.set({ service, model }, count));
+        },
+    });
     return {
         answers: new Counter({
             name: "kumquathall_gateway_answers_total",
@@ -129,6 +142,12 @@
             help: "Connections closed because callers had not read their answers while others held as much as they may",
             registers,
         }),
+        admittedFraction: new Gauge({
+            name: "kumquathall_gateway_admitted_fraction",
+            help: "Fraction of the offered work that is admitted while more is offered than can be served, by rank",
+            labelNames: ["service", "model", "rank"],
+            registers,
+        }),
         active: new Gauge({
             name: "kumquathall_gateway_active_requests",
             help: "Requests under way",
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -59,6 +59,7 @@
             countLimited: () => 0,
             countPaused: () => 0,
             countHeldBytes: () => this.forwarder.countHeldBytes(),
+            listReturns: () => [],
         });
         const table = buildTable(options.route);
         this.tracker = new EndpointTracker({ getService: name => table.getService(name), logger });
