--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -124,6 +124,7 @@
             countPaused: () => this.tracker.countPaused(performance.now()),
             countEvacuated: () => this.reader.countEvacuated(),
             countHeldBytes: () => this.forwarder.countHeldBytes(),
+            listReturns: () => this.forwarder.listReturns(performance.now()),
         });
         this.stopPlan = planStop(settings.stopWithinMs);
         this.quarantine = new QuarantineList(logger);
@@ -404,10 +405,7 @@
             );
         }
         else if (message.kind === "demandTotals") {
-            const reason = this.demandTotals.record(message, performance.now());
-            if (reason !== undefined) {
-                this.faults.record({ kind: "demand-totals", reason, writer: selection.writer });
-            }
+            this.recordTotals(message, selection.writer);
         }
         else {
             this.crashReporter.recordFacts(
@@ -424,6 +422,17 @@
         }
     }
 
+    private recordTotals(totals: DemandTotalsCast, writer: string): void {
+        const now = performance.now();
+        const reason = this.demandTotals.record(totals, now);
+        if (reason === undefined) {
+            this.forwarder.recordTotals(totals.items, now);
+        }
+        else {
+            this.faults.record({ kind: "demand-totals", reason, writer });
+        }
+    }
+
     private announceTraffic(): void {
         this.directory.castAll({ kind: "trafficSeen" });
     }
--- a/packages/gateway/src/invalidResponses.steps.ts
+++ b/packages/gateway/src/invalidResponses.steps.ts
@@ -21,6 +21,7 @@
                 countPaused: () => 0,
                 countEvacuated: () => 0,
                 countHeldBytes: () => ({}),
+                listReturns: () => [],
             });
             const logger = createLogger({ level: "info", write: line => lines.push(line) });
             const responses = new InvalidResponses(logger, metrics.invalidResponses);
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -67,6 +67,7 @@
             countPaused: () => 0,
             countEvacuated: () => 0,
             countHeldBytes: () => this.forwarder.countHeldBytes(),
+            listReturns: () => [],
         });
         const table = buildTable(options.route, options.engine);
         this.table = table;
