Choose among all endpoints at no cost while nothing is evacuated or restricted

Cause: each choice filtered all endpoints of the service, also where no evacuation and no AllowedRegions apply.

Change: the filter returns the list unchanged then, and reads the restrictions of a request once.

The saved time was not measured.

--- a/packages/gateway/src/allowedRegions.steps.ts
+++ b/packages/gateway/src/allowedRegions.steps.ts
@@ -28,7 +28,10 @@
     "a request has a route with the regions {string} and an account with the regions {string}",
     (route: string, account: string) => {
         scope = new EndpointScope({
-            table: { isEvacuated: dataCentre => evacuated.includes(dataCentre) },
+            table: {
+                isEvacuated: dataCentre => evacuated.includes(dataCentre),
+                countEvacuated: () => evacuated.length,
+            },
             route: buildHolder(route),
             account: account === "none" ? undefined : buildHolder(account),
             getRegion: dataCentre => REGIONS[dataCentre],
--- a/packages/gateway/src/endpointScope.ts
+++ b/packages/gateway/src/endpointScope.ts
@@ -4,7 +4,7 @@
 import type { RouteTable } from "./routeTable.js";
 
 export interface EndpointScopeOptions {
-    table: Pick<RouteTable, "isEvacuated">;
+    table: Pick<RouteTable, "isEvacuated" | "countEvacuated">;
     route: Pick<TrafficRoute, "allowedRegions">;
     account: Pick<TrafficAccount, "allowedRegions"> | undefined;
     /** Returns the region of a data centre; `undefined` if it is not known. */
@@ -18,10 +18,20 @@
 
 /** The endpoints that may get a request, by where they are. */
 export class EndpointScope {
-    constructor(private readonly options: EndpointScopeOptions) {}
+    /** Lists of regions of which each must hold the region of an endpoint. */
+    private readonly restrictions: string[][];
 
-    /** Selects the endpoints that may get the request. */
+    constructor(private readonly options: EndpointScopeOptions) {
+        const { route, account } = options;
+        this.restrictions = [route.allowedRegions ?? [], account?.allowedRegions ?? []]
+            .filter(regions => regions.length > 0);
+    }
+
+    /** Selects the endpoints that may get the request; all of them, at no cost, if nothing is evacuated or restricted. */
     select<Endpoint extends PlacedEndpoint>(endpoints: Endpoint[]): Endpoint[] {
+        if (this.restrictions.length === 0 && this.options.table.countEvacuated() === 0) {
+            return endpoints;
+        }
         return endpoints.filter(({ view }) =>
             !this.options.table.isEvacuated(view.dataCentre) && this.isInAllowedRegion(view.dataCentre)
         );
@@ -39,9 +49,6 @@
 
     /** An endpoint in an unknown region is in none that is allowed. */
     private isInAllowedRegion(dataCentre: string): boolean {
-        const { route, account, getRegion } = this.options;
-        return [route.allowedRegions, account?.allowedRegions].every(regions =>
-            regions === undefined || regions.length === 0 || regions.includes(getRegion(dataCentre) ?? "")
-        );
+        return this.restrictions.every(regions => regions.includes(this.options.getRegion(dataCentre) ?? ""));
     }
 }
