--- a/packages/engine-groups/src/index.ts
+++ b/packages/engine-groups/src/index.ts
@@ -2,8 +2,9 @@
 export { formatGroupName, type GroupName, parseGroupName } from "./groupName.js";
 export { type EngineGroup, formatGroupKey, listEngineGroups } from "./listGroups.js";
 export { LoadBudget, type LoadBudgetOptions } from "./loadBudget.js";
+export type { OrderPlanInput, PlannedOrder } from "./orderPlanInput.js";
 export { OrderTracker } from "./orderTracker.js";
-export { type OrderPlanInput, planEngineOrders, type PlannedOrder } from "./planOrders.js";
+export { planEngineOrders } from "./planOrders.js";
 export { RebalanceHistory } from "./rebalanceHistory.js";
 export {
     type FleetSettlingInput,
--- a/packages/engine-groups/src/testing/engineFleet.ts
+++ b/packages/engine-groups/src/testing/engineFleet.ts
@@ -1,8 +1,9 @@
 import type { EndpointView } from "@kumquathall/endpoint-registry";
 import { EngineGroupState, type EngineModelProfile, type EngineOrder, type EngineProfile } from "@kumquathall/types";
 import { LoadBudget } from "../loadBudget.js";
+import type { PlannedOrder } from "../orderPlanInput.js";
 import { OrderTracker } from "../orderTracker.js";
-import { planEngineOrders, type PlannedOrder } from "../planOrders.js";
+import { planEngineOrders } from "../planOrders.js";
 import { RebalanceHistory } from "../rebalanceHistory.js";
 import type { DemandFeed } from "./demandFeed.js";
 
