--- a/packages/capacity-sharing/src/capacitySharing.feature
+++ b/packages/capacity-sharing/src/capacitySharing.feature
@@ -28,6 +28,12 @@
             | 0.3      | 0.9  | 0.30          |
             | 1        | 1    | all           |
 
+    # Guards against callers that send refused requests again until a draw admits them.
+    Scenario: A request that returns early is admitted less often than a new one
+        Given a rank of which 0.3 is admitted and groups that use 0.9 of their slots
+        When they have been refused before and return earlier than they were told
+        Then 0.09 of them are admitted
+
     Scenario Outline: A late request is sent only where it costs nobody else the objective
         Given a rank of which 1 is admitted and groups that use <used> of their slots
         Then a request that is late <when> is <decision>
--- a/packages/capacity-sharing/src/capacitySharing.steps.ts
+++ b/packages/capacity-sharing/src/capacitySharing.steps.ts
@@ -88,6 +88,7 @@
             timeToObjectiveMs: 200,
             timeToAbandonmentMs: 2000,
             hasReserved: false,
+            isEarlyReturn: false,
             draw: 0,
         };
     },
@@ -101,6 +102,8 @@
     strictEqual(admitted / DRAWS, expected === "all" ? 1 : Number(expected));
 });
 
+When("they have been refused before and return earlier than they were told", () => input.isEarlyReturn = true);
+
 Then(/^a request that is late (.*) is (sent|not sent)$/, (when: string, decision: string) => {
     const refusal = decideAdmission({
         ...input,
--- a/packages/capacity-sharing/src/capacitySharing.ts
+++ b/packages/capacity-sharing/src/capacitySharing.ts
@@ -11,7 +11,9 @@
 import { INTERVAL_MS, ReturnSchedule } from "./returnSchedule.js";
 
 /** State of the groups of a model, and the prediction for a request. */
-export interface SharingState extends Omit<AdmissionInput, "isOverloaded" | "fraction" | "overall" | "hasReserved"> {
+export interface SharingState
+    extends Omit<AdmissionInput, "isOverloaded" | "fraction" | "overall" | "hasReserved" | "isEarlyReturn">
+{
     /** Work that the groups that serve can do in a second, in endpoint-milliseconds. */
     capacityMs: number;
 }
@@ -88,6 +90,7 @@
             overall,
             fraction,
             hasReserved: request.hasReserved,
+            isEarlyReturn: request.isReturn && !request.hasReserved,
         });
         return { refusal, fraction, share };
     }
--- a/packages/capacity-sharing/src/decideAdmission.ts
+++ b/packages/capacity-sharing/src/decideAdmission.ts
@@ -28,6 +28,8 @@
     timeToAbandonmentMs: number;
     /** The request returns at a time for which room has been kept. */
     hasReserved: boolean;
+    /** The request has been refused before, and no room has been kept for it. */
+    isEarlyReturn: boolean;
     /** Random number in [0, 1) that belongs to the request. */
     draw: number;
 }
@@ -66,7 +68,9 @@
     if (!isOnTime && !(canBeLate && isOverlong)) {
         return SharingRefusal.Late;
     }
-    const probability = computeProbability(input) * (isOverlong ? OVERLONG_PART : 1);
+    const part = isOverlong ? OVERLONG_PART : 1;
+    // A request that is sent again early has been drawn before. Long prompts have no time for that.
+    const probability = computeProbability(input) ** (input.isEarlyReturn ? 2 : 1) * part;
     return input.draw < probability ? undefined : SharingRefusal.AboveShare;
 }
 
--- a/packages/gateway/src/gateway.feature
+++ b/packages/gateway/src/gateway.feature
@@ -31,6 +31,7 @@
         When a request arrives with 400 ms to its objective
         Then it is refused with a retry-after time of 150 to 2500 ms
 
+    # The next three concern requests that have been sent before; @capacity-sharing and @endpoint-chooser have the others.
     Scenario: A late request is accepted by a group with free slots, where it delays no other request
         Given groups with 10, 30 and 34 requests of 34 slots
         When a request arrives with -500 ms to its objective
--- a/packages/gateway/src/requestShare.ts
+++ b/packages/gateway/src/requestShare.ts
@@ -51,7 +51,7 @@
     ) {
         const { service, head, route, account, ageMs, sharing, random = Math.random } = options;
         this.random = random;
-        this.draw = head.requestId === undefined ? random() : computeDraw(head.requestId);
+        this.draw = random();
         const hintTokens = head.answerTokensHint ?? profile.usualAnswerTokens;
         this.answerTokens = Math.min(hintTokens, head.maxAnswerTokens ?? hintTokens);
         const promptTokens = head.promptTokens ?? profile.usualPromptTokens;
@@ -115,21 +115,3 @@
         };
     }
 }
-
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-const MIX_PRIME = 0x85ebca6b;
-const RANGE = 2 ** 32;
-
-/**
- * Computes a number in [0, 1) from a request's id: all gateways draw the same for a request that returns, so a caller gains
- * nothing by sending it again early.
- */
-function computeDraw(requestId: string): number {
-    let hash = FNV_OFFSET;
-    for (let at = 0; at < requestId.length; at++) {
-        hash = Math.imul(hash ^ requestId.charCodeAt(at), FNV_PRIME);
-    }
-    hash = Math.imul(hash ^ (hash >>> 16), MIX_PRIME);
-    return ((hash ^ (hash >>> 13)) >>> 0) / RANGE;
-}
--- a/packages/gateway/src/testing/capacityRun.ts
+++ b/packages/gateway/src/testing/capacityRun.ts
@@ -38,7 +38,6 @@
 }
 
 export interface SimulatedRequest {
-    id: string;
     priority: number;
     account: string;
     promptTokens: number;
@@ -130,7 +129,6 @@
         // Sizes between a fifth and five times the usual ones; the mean of both factors is 1.
         const createFactor = () => 0.2 / 0.4 * (0.2 + 4.8 * random() ** 9) / 0.34;
         const request = {
-            id: `r-${this.requests.length}-${random()}`,
             priority: from.priority,
             account: from.chooseAccount(random()),
             promptTokens: Math.ceil(profile.usualPromptTokens * createFactor()),
@@ -201,7 +199,7 @@
     ): RequestShare {
         const { profile, random } = this.options;
         const head = {
-            requestId: request.id,
+            requestId: undefined,
             deadlineMs: undefined,
             key: undefined,
             model: profile.models[0].name,
--- a/packages/log-story/src/explainRequest.ts
+++ b/packages/log-story/src/explainRequest.ts
@@ -35,8 +35,9 @@
         events: ["engine-lost", "engine-order", "endpoint-leaving", "consensus-role", "control-link-closed"],
     },
     "no-room": {
-        meaning: "refused, has not run: no group could have answered in time",
-        events: ["engine-lost", "engine-order"],
+        meaning:
+            "refused, has not run: no group could have answered in time, or more urgent work was offered than they can do",
+        events: ["capacity-shared", "engine-lost", "engine-order"],
     },
     "over-limit": {
         meaning: "refused, has not run: the endpoints limit their requests, and none could take it in time",
