Use a group that is on time before one that spreads work better

Cause: the part that spreads gateways was added before the comparison with the objective, so that a request could be sent late, or be refused, while another group was on time. Change: candidates on time come first, then late ones with a free slot; where none can be sent to, the earliest prediction decides as before. The comparison uses an objective of 400 ms, and sends what would be refused for it.

--- a/packages/bench/src/choicePolicies.ts
+++ b/packages/bench/src/choicePolicies.ts
@@ -43,17 +43,20 @@
         candidates: ReplicaGroupCandidate[],
         cost: { answerTokens?: number; gapObjectiveMs?: number } = {},
     ): number {
-        const choice = chooseReplicaGroup({
-            ...cost,
-            profile: this.options.profile,
-            model: this.options.model,
-            promptTokens: request.promptTokens,
-            candidates,
-            firstEventBiasMs: 0,
-            timeToObjectiveMs: Number.POSITIVE_INFINITY,
-            timeToAbandonmentMs: Number.POSITIVE_INFINITY,
-            random: 0,
-        });
+        const choose = (timeToObjectiveMs: number) =>
+            chooseReplicaGroup({
+                ...cost,
+                profile: this.options.profile,
+                model: this.options.model,
+                promptTokens: request.promptTokens,
+                candidates,
+                firstEventBiasMs: 0,
+                timeToObjectiveMs,
+                timeToAbandonmentMs: Number.POSITIVE_INFINITY,
+                random: 0,
+            });
+        const onTime = choose(OBJECTIVE_MS);
+        const choice = onTime.kind === "send" ? onTime : choose(Number.POSITIVE_INFINITY);
         this.predictedMs = choice.kind === "send" ? choice.predictedMs : undefined;
         return choice.kind === "send" ? Number(choice.endpointId) : 0;
     }
@@ -163,6 +166,8 @@
     }
 }
 
+/** Objective for the first event, in milliseconds; what would be refused for it is sent nevertheless. */
+const OBJECTIVE_MS = 400;
 /** Age of the state in a report when it is received, in milliseconds. */
 export const REPORT_LAG_MS = 200;
 const INCARNATION = 1;
--- a/packages/gateway/src/chooseReplicaGroup.ts
+++ b/packages/gateway/src/chooseReplicaGroup.ts
@@ -52,31 +52,39 @@
 const MIN_RETRY_AFTER_MS = 150;
 const MAX_RETRY_AFTER_MS = 2000;
 
+/** Whether a group serves a request in time, late in a free slot, or not at all; the lowest is used first. */
+const TimeRank = { OnTime: 0, Late: 1, Refused: 2 } as const;
+type TimeRankValue = (typeof TimeRank)[keyof typeof TimeRank];
+/** Added to the rank of a group whose running requests the request would disturb. */
+const DISTURBED_RANK = 3;
+
 /**
  * Chooses the group with the earliest predicted first event among those whose running requests aren't disturbed, or of all
  * groups if there are none; or refuses a request that the group can't serve in time.
  */
 export function chooseReplicaGroup(input: ReplicaGroupChoiceInput): ReplicaGroupChoice {
-    let best: { candidate: ReplicaGroupCandidate; predictedMs: number; cost: number; disturbs: boolean } | undefined;
+    let best: { candidate: ReplicaGroupCandidate; predictedMs: number; cost: number; rank: number } | undefined;
     for (const candidate of input.candidates) {
         const predictedMs = input.firstEventBiasMs
             + predictFirstEventMs(input.profile, input.model, candidate.load, input.promptTokens, input);
-        const cost = (predictedMs + (candidate.spreadMs ?? 0)) * (1 + FAILURE_COST_FACTOR * candidate.failureScore);
-        const disturbs = mustDisturb(input, candidate);
-        const isBetter = best === undefined
-            || (disturbs === best.disturbs ? cost < best.cost : !disturbs);
-        if (isBetter) {
-            best = { candidate, predictedMs, cost, disturbs };
+        const timeRank = computeTimeRank(input, candidate, predictedMs);
+        // Where none can be sent to, the earliest shows for how long to refuse.
+        const spreadMs = timeRank === TimeRank.Refused ? 0 : candidate.spreadMs ?? 0;
+        const cost = (predictedMs + spreadMs) * (1 + FAILURE_COST_FACTOR * candidate.failureScore);
+        const rank = input.answerTokens === undefined
+            ? 0
+            : timeRank + (mustDisturb(input, candidate) ? DISTURBED_RANK : 0);
+        if (best === undefined || rank < best.rank || (rank === best.rank && cost < best.cost)) {
+            best = { candidate, predictedMs, cost, rank };
         }
     }
     if (best === undefined) {
         return { kind: "none" };
     }
     const { candidate, predictedMs } = best;
-    const isOnTime = predictedMs <= input.timeToObjectiveMs;
-    const utilization = (candidate.load.running + candidate.load.waiting) / input.profile.slots;
-    if (isOnTime || (utilization < LATE_SLOT_FRACTION && predictedMs < input.timeToAbandonmentMs)) {
-        return { kind: "send", endpointId: candidate.endpointId, predictedMs, isOnTime };
+    const timeRank = computeTimeRank(input, candidate, predictedMs);
+    if (timeRank !== TimeRank.Refused) {
+        return { kind: "send", endpointId: candidate.endpointId, predictedMs, isOnTime: timeRank === TimeRank.OnTime };
     }
     const excessMs = predictedMs - Math.max(0, input.timeToObjectiveMs);
     const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, excessMs))
@@ -84,12 +92,22 @@
     return { kind: "refuse", retryAfterMs, predictedMs };
 }
 
+function computeTimeRank(
+    input: ReplicaGroupChoiceInput,
+    { load }: ReplicaGroupCandidate,
+    predictedMs: number,
+): TimeRankValue {
+    if (predictedMs <= input.timeToObjectiveMs) {
+        return TimeRank.OnTime;
+    }
+    const utilization = (load.running + load.waiting) / input.profile.slots;
+    const hasRoom = utilization < LATE_SLOT_FRACTION && predictedMs < input.timeToAbandonmentMs;
+    return hasRoom ? TimeRank.Late : TimeRank.Refused;
+}
+
 /** Whether requests that run in a group would miss their objective between events, or be preempted, for the request. */
 function mustDisturb(input: ReplicaGroupChoiceInput, { load, failureScore }: ReplicaGroupCandidate): boolean {
-    const { profile, model, promptTokens, answerTokens, gapObjectiveMs } = input;
-    if (answerTokens === undefined) {
-        return false;
-    }
+    const { profile, model, promptTokens, answerTokens = 0, gapObjectiveMs } = input;
     const isGapExceeded = gapObjectiveMs !== undefined && load.running > 0
         && predictEventGapMs(profile, model, load, promptTokens) > gapObjectiveMs;
     return failureScore > MAX_FAILURE_SCORE || isGapExceeded
--- a/packages/gateway/src/gateway.feature
+++ b/packages/gateway/src/gateway.feature
@@ -69,8 +69,10 @@
         Then it goes to group 3
 
     # Guards against a request that makes an engine preempt others, whose prompts are then read again.
-    Scenario: A group whose memory is too small for one more request is passed over for one with more requests
+    Scenario: A group whose memory is too small for one more request is passed over for one with a later first event
         Given groups with 20, 5 and 12 requests of 34 slots
+        And group 1 runs at a pace of 2
+        And group 3 runs at a pace of 2
         And group 2 uses 1699000 tokens of memory
         When a request of 1000 prompt tokens and 100 answer tokens arrives, where events may be 200 ms apart
         Then it goes to group 3
@@ -81,6 +83,13 @@
         When a request of 8000 prompt tokens and 100 answer tokens arrives, where events may be 10 ms apart
         Then it goes to group 2
 
+    # Guards against gateways that avoid each other and so refuse, or send late, what a group could serve in time.
+    Scenario: A group that is on time is used before one that is late, however much of this gateway's work it has
+        Given groups with 36, 5 and 38 requests of 34 slots
+        And 900 ms are added to group 2 to spread gateways
+        When a request of 1000 prompt tokens and 100 answer tokens arrives, where it has 300 ms to its objective
+        Then it goes to group 2
+
     Scenario Outline: A stopping gateway refuses requests that it might not finish, so that callers can retry elsewhere
         Then a gateway that stops within 8000 ms accepts a request of up to <duration> ms that arrives <since> ms after the signal: <accepted>
 
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -189,6 +189,16 @@
         choose({ promptTokens, answerTokens, gapObjectiveMs, timeToObjectiveMs: 2000 }),
 );
 
+When(
+    "a request of {int} prompt tokens and {int} answer tokens arrives, where it has {int} ms to its objective",
+    (promptTokens: number, answerTokens: number, timeToObjectiveMs: number) =>
+        choose({ promptTokens, answerTokens, timeToObjectiveMs }),
+);
+
+Given("{int} ms are added to group {int} to spread gateways", (spreadMs: number, group: number) => {
+    candidates[group - 1].spreadMs = spreadMs;
+});
+
 Given("group {int} runs at a pace of {int}", (group: number, pace: number) => {
     candidates[group - 1].load.pace = pace;
 });
--- a/packages/request-cost/src/requestCost.feature
+++ b/packages/request-cost/src/requestCost.feature
@@ -51,9 +51,9 @@
 
     # Guards against own requests that are counted twice, or not at all, because a report is older than its arrival.
     Scenario: Own requests that were sent or ended while a report was on its way are counted once
-        Given an endpoint with a request sent at 100, one sent at 110 that ended at 950, and one sent at 900
+        Given an endpoint with a request sent at 100, one sent at 110 that ended at 950, and two sent at 900
         When a report of time 1000 and incarnation 1 states 4 running requests
-        Then 4 requests count as being there, 2 of them of others
+        Then 5 requests count as being there, 2 of them of others
 
     # Guards against the mean for each of others' requests, by which the first of many slots would be free far too late.
     Scenario: The requests of others end one after another
--- a/packages/request-cost/src/requestCost.steps.ts
+++ b/packages/request-cost/src/requestCost.steps.ts
@@ -135,10 +135,10 @@
 );
 
 Given(
-    "an endpoint with a request sent at {int}, one sent at {int} that ended at {int}, and one sent at {int}",
+    "an endpoint with a request sent at {int}, one sent at {int} that ended at {int}, and two sent at {int}",
     (first: number, second: number, endedAt: number, third: number) => {
         work = new EndpointWork(INCARNATION);
-        const requests = [first, second, third].map(sentAt => ({ sentAt }));
+        const requests = [first, second, third, third].map(sentAt => ({ sentAt }));
         requests.forEach(item => work.addGeneration(item, COST, 1, 0, item.sentAt));
         work.remove(requests[1], endedAt);
     },
