--- a/packages/gateway/src/endpointChooser.steps.ts
+++ b/packages/gateway/src/endpointChooser.steps.ts
@@ -59,9 +59,14 @@
         const running = used - waiting;
         const load = { running, waiting, pendingPrefillTokens: 0, kvUsedTokens: running * 1000, pace: 1 };
         const options = {
-            table: { getService: () => ({ engine: PROFILE }) },
+            table: {
+                getService: () => ({ engine: PROFILE }),
+                getShortestGapObjectiveMs: () => undefined,
+                countEvacuated: () => 0,
+                isEvacuated: () => false,
+            },
             tracker: { listGroupHeads: () => endpoints, estimateLoad: () => load },
-            limits: { hasPermit: () => true },
+            limits: { hasPermit: () => true, countAboveColdShare: () => 0 },
             bias: new FirstEventBiasEstimator(),
             route: { objectiveMs: Number(objectiveMs), priority: 0 } as TrafficRoute,
             service: "s",
