Compute the demand once for each scheduled return

Cause: the demand of the last 2 s was summed for each interval of 100 ms that was tried, up to 300 for one refusal. Change: the prediction is created once for each refusal.

--- a/packages/capacity-sharing/src/capacitySharing.ts
+++ b/packages/capacity-sharing/src/capacitySharing.ts
@@ -101,8 +101,12 @@
      */
     scheduleReturn(request: OfferedRequest, input: ReturnInput, now: number): { returnMs: number; hasRoom: boolean } {
         const share = this.computeShare(request, input.capacityMs, now);
-        const predictRoomMs = (afterMs: number) => this.predictRoomMs(request, share, input.capacityMs, afterMs, now);
-        const { workMs } = request;
+        const { service, model, workMs } = request;
+        const predictOfferedMs = this.admission.createPrediction(service, model, share, now);
+        const { capacityMs } = input;
+        const predictRoomMs = (afterMs: number) =>
+            Math.max(RETURN_PART * capacityMs, FILLED_PART * capacityMs - predictOfferedMs(afterMs))
+            * share.gatewayShare * INTERVAL_MS / MS_PER_SECOND;
         const { random, timeLeftMs } = input;
         const earliestMs = Math.max(MIN_RETURN_MS, input.excessMs);
         const latestMs = timeLeftMs - input.answerMs;
@@ -138,16 +142,4 @@
         this.schedules.set(key, { service, model, schedule });
         return schedule;
     }
-
-    private predictRoomMs(
-        { service, model }: OfferedRequest,
-        share: AdmittedShare,
-        capacityMs: number,
-        afterMs: number,
-        now: number,
-    ): number {
-        const offeredMs = this.admission.predictOfferedMs(service, model, share, afterMs, now);
-        const roomMs = Math.max(RETURN_PART * capacityMs, FILLED_PART * capacityMs - offeredMs);
-        return roomMs * share.gatewayShare * INTERVAL_MS / MS_PER_SECOND;
-    }
 }
--- a/packages/capacity-sharing/src/rankedAdmission.ts
+++ b/packages/capacity-sharing/src/rankedAdmission.ts
@@ -135,16 +135,21 @@
         return value;
     }
 
-    /** Predicts the demand in `afterMs` as a return from the present one to that of the last 20 s. */
-    predictOfferedMs(service: string, model: string, share: AdmittedShare, afterMs: number, now: number): number {
+    /** Creates a prediction of the demand some milliseconds ahead: it returns from the present one to that of the last 20 s. */
+    createPrediction(
+        service: string,
+        model: string,
+        share: AdmittedShare,
+        now: number,
+    ): (afterMs: number) => number {
         const demand = this.getOrCreateDemand(service, model, now);
         const { work, coveredMs } = demand.window.get(now);
         const presentMs = work / coveredMs * MS_PER_SECOND;
         if (presentMs === 0) {
-            return share.offeredMs;
+            return () => share.offeredMs;
         }
         const lastingMs = share.offeredMs * demand.lasting.get(now) / presentMs;
-        return lastingMs + (share.offeredMs - lastingMs) * Math.exp(-afterMs / TOTAL_SPAN_MS);
+        return afterMs => lastingMs + (share.offeredMs - lastingMs) * Math.exp(-afterMs / TOTAL_SPAN_MS);
     }
 
     /**
