Dissolve groups only for a lasting need, and keep measured shares without figures

Change: a rebalance must have been worthwhile for 1 s, longer than a head takes to leave; shares stay in use until the term or the declaration changes; groups are released together or not at all.

--- a/packages/engine-groups/src/demandPlanning.feature
+++ b/packages/engine-groups/src/demandPlanning.feature
@@ -55,6 +55,12 @@
             | 0.3   | 1    |
             | 0.3   | 2    |
 
+    # Guards against a return to the declared shares, which would dissolve groups while a few callers are served.
+    Scenario: Load pattern "few callers": without figures the shares in use are kept
+        When the share of the large model is 0.8 for 60 s
+        And no figures are known for 120 s
+        Then the share of the large model in use is 0.8
+
     Scenario: Load pattern "no callers": without figures no group is dissolved
         When the share of the large model is 0.3 for 30 s
         And no figures are known for 120 s
@@ -79,6 +85,19 @@
         When the share of the large model is 0.3 for 10 s
         Then a group of the second domain was dissolved
 
+    # Guards against groups that are dissolved for another model whose group is only being repaired.
+    Scenario Outline: Load pattern "loss": the loss of one member dissolves no group of the other model
+        When the share of the large model is <share> for 60 s
+        And a member of a <size> group is lost and 10 s pass
+        Then no further group was dissolved for another model
+
+        Examples:
+            | share | size  |
+            | 0.3   | large |
+            | 0.3   | small |
+            | 0.5   | large |
+            | 0.8   | small |
+
     Scenario: Declared shares that differ are kept
         Given declared shares 0.67 and 0.33
         When the share of the large model is 0.1 for 60 s
--- a/packages/engine-groups/src/demandPlanning.steps.ts
+++ b/packages/engine-groups/src/demandPlanning.steps.ts
@@ -154,6 +154,12 @@
     },
 );
 
+When(/^a member of a (large|small) group is lost and (\d+) s pass$/, (model: string, seconds: string) => {
+    ordersBefore = fleet.orders.length;
+    fleet.crashMember(model, 1);
+    runFor(Number(seconds));
+});
+
 When("no figures are known for {int} s", (seconds: number) => {
     setDemand(() => Number.NaN);
     runFor(seconds);
@@ -206,6 +212,16 @@
     strictEqual(fleet.violations.length, 0);
 });
 
+Then("no further group was dissolved for another model", () => {
+    const rebalances = fleet.orders.slice(ordersBefore).filter(item => item.reason === REBALANCE_REASON);
+    strictEqual(rebalances.length, 0);
+});
+
+Then("the share of the large model in use is {float}", (share: number) => {
+    const { models } = fleet.demand?.select(fleet.listEngines().length, fleet.now).profile ?? profile;
+    ok(Math.abs(models[0].share - share) < 0.01, `${models[0].share}`);
+});
+
 Then("both models have served in all but {int} s", (seconds: number) => {
     const gaps = samples.filter(sample => sample.large === 0 || sample.small === 0).length * STEP_MS;
     ok(gaps <= seconds * 1000, `${gaps} ms without one of the models`);
--- a/packages/engine-groups/src/planOrders.ts
+++ b/packages/engine-groups/src/planOrders.ts
@@ -285,6 +285,11 @@
             this.stageAhead(rebalance);
             return;
         }
+        // Groups that are dissolved one by one would form again before there are members enough for the other model.
+        const canRelease = rebalance.groups.every(({ head }) => head !== undefined && this.canOrder(head));
+        if (!canRelease || !rebalances.isLasting(this.input.now)) {
+            return;
+        }
         rebalance.groups.forEach(group => this.releaseGroup(group, REBALANCE_REASON));
         rebalances.recordStart(rebalance, this.input.now);
     }
@@ -361,8 +366,13 @@
         this.push(view, { kind: "join", group, epoch, model, members }, reason);
     }
 
+    /** Whether an order to the endpoint matches the state that it has when the order arrives. */
+    private canOrder(view: EndpointView): boolean {
+        return !this.orderedIds.has(view.id) && !this.input.isOrderPending(view);
+    }
+
     private push(target: EndpointView, order: OrderBody, reason: string): void {
-        if (target.engine === undefined || this.orderedIds.has(target.id) || this.input.isOrderPending(target)) {
+        if (target.engine === undefined || !this.canOrder(target)) {
             return;
         }
         this.orderedIds.add(target.id);
--- a/packages/engine-groups/src/rebalanceHistory.ts
+++ b/packages/engine-groups/src/rebalanceHistory.ts
@@ -8,6 +8,11 @@
 const HOLD_MS = 60_000;
 /** Time for which an opposite must be worthwhile before it is made, in milliseconds: half of a wave of 30 s. */
 const MIN_OPPOSITE_MS = 15_000;
+/**
+ * Time for which a rebalance must be worthwhile before groups are dissolved for it, in milliseconds: longer than the head of
+ * a group with a lost member takes to leave, so that the members that are left can form the group anew.
+ */
+const MIN_LASTING_MS = 1000;
 /** A rebalance that isn't worthwhile for less than this, in milliseconds, as while a group is repaired, still is. */
 const MAX_GAP_MS = 1000;
 
@@ -36,6 +41,11 @@
             && (!isHeld || rebalance.isFirst || now - since >= MIN_OPPOSITE_MS);
     }
 
+    /** Whether the rebalance that was admitted last has been worthwhile for long enough to dissolve groups for it. */
+    isLasting(now: number): boolean {
+        return this.wanted !== undefined && now - this.wanted.since >= MIN_LASTING_MS;
+    }
+
     recordStart({ donor, recipient, domain }: Rebalance, now: number): void {
         this.last = { donor: donor.name, recipient: recipient.name };
         this.heldSince = now;
--- a/packages/engine-groups/src/shareSelector.ts
+++ b/packages/engine-groups/src/shareSelector.ts
@@ -24,8 +24,6 @@
 const MIN_DIFFERENCE = 0.1;
 /** Time for which it must do so, in milliseconds. */
 const MIN_DIFFERENCE_MS = 2000;
-/** Time for which shares stay in use without new figures, in milliseconds: longer than a partition or a new leader. */
-const KEEP_MS = 30_000;
 
 /** Whether a service's declaration says nothing about the demand, so that measured shares replace the declared ones. */
 export function isDemandDriven(profile: EngineProfile): boolean {
@@ -34,11 +32,13 @@
         && models.every(model => model.share > 0 && model.share === models[0].share && model.groupSize > 0);
 }
 
-/** Chooses the shares by which a service's groups are planned, with hysteresis. */
+/**
+ * Chooses the shares by which a service's groups are planned, with hysteresis. Measured shares stay in use while no figures
+ * are known: a few callers, or a leader without gateways, are no reason to dissolve groups that serve.
+ */
 export class ShareSelector {
     private inUse: Map<string, number> | undefined;
     private differsSince: number | undefined;
-    private knownAt = 0;
 
     select({ profile, measured, endpoints, now }: ShareSelectionInput): ShareSelection {
         const before = this.inUse;
@@ -46,10 +46,9 @@
             ? undefined
             : raiseToOneGroup(profile.models, measured, endpoints);
         if (wanted !== undefined) {
-            this.knownAt = now;
             this.follow(wanted, now);
         }
-        else if (!isDemandDriven(profile) || now - this.knownAt > KEEP_MS) {
+        else if (!isDemandDriven(profile)) {
             this.inUse = undefined;
             this.differsSince = undefined;
         }
