Limit reported cold times before they are merged

Callers could see an endpoint crash: after one response with Cold-Ms 500000, the endpoint counted as warm after its declared 3 s, and later valid reports of 3000 ms were ignored as known for up to 10 minutes.

Cause: ColdBoard compares the ends of cold times as reported, and the declared time was applied only when the end was read.

Change: ColdEndpoints limits a fact to the declared time before it is recorded and sent to control, for its own responses and for facts of other gateways.

--- a/packages/gateway/src/coldEndpoints.feature
+++ b/packages/gateway/src/coldEndpoints.feature
@@ -24,6 +24,20 @@
         When 3010 ms go by
         Then the endpoint is not limited
 
+    # Guards against an odd value whose end, minutes away, hides all later reports and keeps the endpoint unlimited.
+    Scenario Outline: A report that exceeds the declared time does not hide the ones after it
+        When <source> reports a cold time of 500000 ms
+        And 3010 ms go by
+        Then the endpoint is not limited
+        When a response reports a cold time of 3000 ms
+        Then the endpoint is limited
+        And control is informed <informed> times, of at most 3000 ms
+
+        Examples:
+            | source          | informed |
+            | a response      | 2        |
+            | another gateway | 1        |
+
     Scenario Outline: Endpoints of a data centre that returns are cold until a later heartbeat, or for the declared time
         When data centre "<data centre>" returns
         Then the endpoint is <before>
--- a/packages/gateway/src/coldEndpoints.steps.ts
+++ b/packages/gateway/src/coldEndpoints.steps.ts
@@ -2,7 +2,7 @@
 import { createLogger } from "@kumquathall/logger";
 import type { ColdFact, ColdProfile } from "@kumquathall/types";
 import { type Clock, install } from "@sinonjs/fake-timers";
-import { strictEqual } from "node:assert";
+import { deepStrictEqual, strictEqual } from "node:assert";
 import { ColdEndpoints, type ColdView } from "./coldEndpoints.js";
 
 const ENDPOINT = "e@1";
@@ -54,6 +54,10 @@
     cold.recordResponse(ENDPOINT, coldMs, performance.now());
 });
 
+When("another gateway reports a cold time of {int} ms", (coldMs: number) => {
+    cold.record([{ endpoint: ENDPOINT, coldMs, ageMs: 0 }], performance.now());
+});
+
 When("data centre {string} returns", (dataCentre: string) => cold.recordReturn(dataCentre, performance.now()));
 
 When("contact to control is lost", () => {
@@ -78,6 +82,10 @@
 
 Then("control is informed {int} times", (count: number) => strictEqual(sent.length, count));
 
+Then("control is informed {int} times, of at most {int} ms", (count: number, mostMs: number) => {
+    deepStrictEqual(sent.map(({ coldMs }) => coldMs <= mostMs), Array.from({ length: count }, () => true));
+});
+
 Then(
     /^the log has "(.+)" (once|0 times) and "(.+)" (once|0 times)$/,
     (first: string, firstCount: string, second: string, secondCount: string) => {
--- a/packages/gateway/src/coldEndpoints.ts
+++ b/packages/gateway/src/coldEndpoints.ts
@@ -87,7 +87,7 @@
 
     /** Records that a response of an endpoint says that it stays cold for `coldMs`. */
     recordResponse(endpoint: string, coldMs: number, now: number): void {
-        const fact = { endpoint, coldMs, ageMs: 0 };
+        const fact = this.applyProfile({ endpoint, coldMs, ageMs: 0 });
         if (this.findProfile(endpoint) !== undefined && this.board.record(fact, now)) {
             this.options.sendAll([fact]);
             this.check(endpoint, now);
@@ -96,7 +96,9 @@
 
     /** Records what control has received from other gateways. */
     record(facts: ColdFact[], now: number): void {
-        facts.filter(fact => this.board.record(fact, now)).forEach(fact => this.check(fact.endpoint, now));
+        facts.map(fact => this.applyProfile(fact))
+            .filter(fact => this.board.record(fact, now))
+            .forEach(fact => this.check(fact.endpoint, now));
     }
 
     /**
@@ -178,6 +180,15 @@
         return view === undefined ? undefined : this.options.getService(view.service)?.cold;
     }
 
+    /**
+     * Limits a cold time to the one that the service declares. The board compares ends, so that a longer one would hide
+     * every report that comes before its end.
+     */
+    private applyProfile(fact: ColdFact): ColdFact {
+        const maxMs = this.findProfile(fact.endpoint)?.durationMs ?? Number.POSITIVE_INFINITY;
+        return { ...fact, coldMs: Math.min(maxMs, fact.coldMs) };
+    }
+
     /** Computes how long an endpoint stays cold by the latest end that any source names, in milliseconds; at least 0. */
     private computeLeftMs(endpoint: string, now: number): number {
         const view = this.options.findView(endpoint);
