Report what is left of a cold time while the engine can't be read

Gateways could see a cold time that never ended: while the engine's report could not be read, each refresh of the sidecar (every second) repeated the last Cold-Ms, and control counted it from then on.

Cause: the sidecar stored the time left at the newest reading and sent it as is.

Change: it stores the end as monotonic time and reports what is left. The scenarios of the sidecar stop the monotonic clock, so that the reported times are exact.

--- a/packages/sidecar/src/sidecar.feature
+++ b/packages/sidecar/src/sidecar.feature
@@ -20,3 +20,16 @@
         When the sidecar has linked to the control member
         And the engine responds that it stays cold for 2500 ms
         Then the first report says that it stays cold for 2500 ms
+
+    # Guards against a cold time that begins anew at control with each report while the engine's reports can't be read.
+    Scenario Outline: A cold time runs down while the engine's report can't be read
+        Given a control member, and a sidecar whose engine does not respond yet
+        When the sidecar has linked to the control member
+        And the engine responds that it stays cold for 2500 ms
+        And the engine's report can't be read any more, and <ms> ms go by
+        Then the next report says that it stays cold for <left> ms
+
+        Examples:
+            | ms   | left |
+            | 1000 | 1500 |
+            | 2600 | 0    |
--- a/packages/sidecar/src/sidecar.steps.ts
+++ b/packages/sidecar/src/sidecar.steps.ts
@@ -1,8 +1,9 @@
-import { After, Given, Then, When } from "@cucumber/cucumber";
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import type { RoleContext } from "@kumquathall/kernel";
 import { LinkListener } from "@kumquathall/link";
 import { createLogger } from "@kumquathall/logger";
 import type { ObservationFact } from "@kumquathall/types";
+import { type Clock, install } from "@sinonjs/fake-timers";
 import { strictEqual } from "node:assert";
 import { Registry } from "prom-client";
 import { EngineClient, type EngineReport, EngineUnreachableError } from "./engineClient.js";
@@ -15,8 +16,10 @@
     settle: { resolve: (report: EngineReport) => void; reject: (error: Error) => void } | undefined;
     private readonly report = new Promise<EngineReport>((resolve, reject) => this.settle = { resolve, reject });
 
+    isFailing = false;
+
     override readReport(): Promise<EngineReport> {
-        return this.report;
+        return this.isFailing ? Promise.reject(new Error("the report is incomplete")) : this.report;
     }
 
     override sendOrder(): Promise<{ isAccepted: boolean; status: number }> {
@@ -33,17 +36,24 @@
 let engine: ControlledEngine;
 let linked: Promise<void>;
 let firstReport: Promise<ObservationFact>;
+let notifyReport: ((fact: ObservationFact) => void) | undefined;
+/** Stops the monotonic clock, so that times in reports don't depend on the machine; timers run on. */
+let clock: Clock;
+
+Before({ tags: "@sidecar" }, () => {
+    clock = install({ toFake: ["performance"] });
+});
 
 After({ tags: "@sidecar" }, async () => {
     await sidecar.close();
     listener.close();
+    clock.uninstall();
 });
 
 Given("a control member, and a sidecar whose engine does not respond yet", async () => {
     let notifyLinked: () => void = () => undefined;
-    let deliver: (fact: ObservationFact) => void = () => undefined;
     linked = new Promise(resolve => notifyLinked = resolve);
-    firstReport = new Promise(resolve => deliver = resolve);
+    firstReport = new Promise(resolve => notifyReport = resolve);
     const logger = createLogger({ write: () => undefined });
     listener = await LinkListener.listen({
         address: { host: HOST, port: 0 },
@@ -54,7 +64,7 @@
                 notifyLinked();
                 return Promise.resolve({ kind: "members", members: [], gateways: 1 });
             },
-            onCast: message => deliver((message as { facts: ObservationFact[] }).facts[0]),
+            onCast: message => notifyReport?.((message as { facts: ObservationFact[] }).facts[0]),
         },
     });
     engine = new ControlledEngine();
@@ -94,6 +104,17 @@
     engine.settle?.reject(new EngineUnreachableError("the engine's address refuses connections"));
 });
 
+When("the engine's report can't be read any more, and {int} ms go by", async (ms: number) => {
+    await firstReport;
+    engine.isFailing = true;
+    clock.tick(ms);
+});
+
+Then("the next report says that it stays cold for {int} ms", async (coldMs: number) => {
+    const { coldMs: reported = 0 } = await new Promise<ObservationFact>(resolve => notifyReport = resolve);
+    strictEqual(reported, coldMs);
+});
+
 Then("the first report says that the engine is reachable", async () => {
     const { isReachable, bornMs } = await firstReport;
     strictEqual(isReachable, true);
--- a/packages/sidecar/src/sidecarRole.ts
+++ b/packages/sidecar/src/sidecarRole.ts
@@ -46,7 +46,10 @@
     private isPolling = false;
     private isClosed = false;
     private status: EngineStatus | undefined;
+    /** Cold time that the newest report of the engine named, in milliseconds; 0 if none. */
     private coldMs = 0;
+    /** Local monotonic time at which that cold time ends, in milliseconds. */
+    private coldUntil = Number.NEGATIVE_INFINITY;
     /** Number of times that a cold time has begun, been renewed or ended. */
     private coldChanges = 0;
     private readonly timer: NodeJS.Timeout;
@@ -142,6 +145,7 @@
             this.coldChanges++;
         }
         this.coldMs = coldMs;
+        this.coldUntil = performance.now() + coldMs;
     }
 
     private reportTo(link: Link): void {
@@ -176,6 +180,7 @@
     }
 
     private buildFact(): ObservationFact {
+        const coldMs = Math.max(0, this.coldUntil - performance.now());
         return {
             kind: "observation",
             address: this.settings.engineAddress,
@@ -184,7 +189,7 @@
             isReachable: this.isReachable,
             bornMs: this.bornMs,
             engine: this.status,
-            ...(this.coldMs === 0 ? {} : { coldMs: this.coldMs }),
+            ...(coldMs === 0 ? {} : { coldMs }),
         };
     }
 
