Look up the leader again while a silent one holds a call

Operators got 503 after a second for evacuation orders, although another member led after 300 ms. While the leader was unknown, one silent member had the same effect.

Cause: LeaderCaller waited for one link for the whole 900 ms.

Change: a call whose repetition changes nothing (reads, drains, and versions of the traffic configuration) waits for one member at most 300 ms, or its part of the time left while the leader is unknown; then the leader is looked up again. A member that has not answered is not called twice, and its late answer counts, so that a leader that needs 800 ms still confirms. Other commands wait as before.

--- a/packages/control/src/leaderCaller.ts
+++ b/packages/control/src/leaderCaller.ts
@@ -19,17 +19,33 @@
 export const LEADER_CALL_TIMEOUT_MS = 900;
 /** Pause before a call is tried again while there is no leader, in milliseconds. */
 const RETRY_PAUSE_MS = 50;
+/**
+ * Time for one member to answer before the leader is looked up again, in milliseconds: an election takes about as long, and
+ * callers have time for three of these.
+ */
+const TRY_MS = 300;
+
+/** A member that may lead. Two targets with the same `key` are the same member. */
+interface CallTarget {
+    key: string | Pick<Link, "call">;
+    call: (timeoutMs: number) => Promise<ControlAnswer>;
+}
 
 /** Calls the leader, whether it is this member or another. */
 export class LeaderCaller {
     constructor(private readonly options: LeaderCallerOptions) {}
 
-    /** Retries until a leader handles the call. Rejects with {@link KumquathallError} if none does in time. */
+    /**
+     * Retries until a leader handles the call. If repeating the call is safe, a member that stays silent is waited for only
+     * in part of the time, and its answer still counts after that. Rejects with {@link KumquathallError} if no leader
+     * answers in time.
+     */
     async call(call: ControlCall, timeoutMs: number = LEADER_CALL_TIMEOUT_MS): Promise<ControlAnswer> {
         const endsAt = performance.now() + timeoutMs;
+        const tries = new CallTries(this.options.logger, call.kind);
         for (;;) {
-            const answer = await this.callOnce(call, endsAt - performance.now());
-            if (isHandled(answer)) {
+            const answer = await this.callOnce(call, tries, endsAt);
+            if (answer !== undefined) {
                 return answer;
             }
             if (performance.now() + RETRY_PAUSE_MS >= endsAt) {
@@ -39,26 +55,74 @@
         }
     }
 
-    private async callOnce(call: ControlCall, timeoutMs: number): Promise<ControlAnswer> {
-        const { id, runtime, logger } = this.options;
+    private async callOnce(call: ControlCall, tries: CallTries, endsAt: number): Promise<ControlAnswer | undefined> {
+        const targets = this.listTargets(call);
+        for (const [at, target] of targets.entries()) {
+            const leftMs = Math.max(1, endsAt - performance.now());
+            const waitMs = isRepeatable(call) ? Math.min(TRY_MS, leftMs / (targets.length - at)) : leftMs;
+            const answer = await tries.wait(target, leftMs, waitMs);
+            if (answer !== undefined) {
+                return answer;
+            }
+        }
+        return tries.getAnswer();
+    }
+
+    /** Lists the leader, or all members if it is not known. */
+    private listTargets(call: ControlCall): CallTarget[] {
+        const { id, runtime, answerLocally, getLeaderLink, listLinks } = this.options;
         const { leaderId } = runtime.getState();
+        if (leaderId === id) {
+            return [{ key: id, call: () => answerLocally(call) }];
+        }
+        const build = (link: Pick<Link, "call">, key: CallTarget["key"]): CallTarget => ({
+            key,
+            call: async timeoutMs => await link.call(call, timeoutMs) as ControlAnswer,
+        });
+        const known = leaderId === undefined ? undefined : getLeaderLink(leaderId);
+        return leaderId === undefined || known === undefined
+            ? listLinks().map(link => build(link, link))
+            : [build(known, leaderId)];
+    }
+}
+
+/** The members that a call has been sent to and that have not answered it, and the first answer of a leader. */
+class CallTries {
+    private readonly pending = new Map<CallTarget["key"], Promise<void>>();
+    private answer: ControlAnswer | undefined;
+
+    constructor(private readonly logger: Logger, private readonly kind: ControlCall["kind"]) {}
+
+    getAnswer(): ControlAnswer | undefined {
+        return this.answer;
+    }
+
+    /**
+     * Calls a member, unless its answer to this call is still pending, and waits until a pending call has ended, at most
+     * `waitMs`. Returns the answer of a leader if there is one.
+     */
+    async wait(target: CallTarget, timeoutMs: number, waitMs: number): Promise<ControlAnswer | undefined> {
+        if (this.answer === undefined && !this.pending.has(target.key)) {
+            this.pending.set(target.key, this.send(target, timeoutMs));
+        }
+        if (this.answer === undefined) {
+            await waitAtMost([...this.pending.values()], waitMs);
+        }
+        return this.answer;
+    }
+
+    private async send({ key, call }: CallTarget, timeoutMs: number): Promise<void> {
         try {
-            if (leaderId === id) {
-                return await withTimeout(this.options.answerLocally(call), timeoutMs);
-            }
-            const known = leaderId === undefined ? undefined : this.options.getLeaderLink(leaderId);
-            for (const link of known === undefined ? this.options.listLinks() : [known]) {
-                const answer = await link.call(call, Math.max(1, timeoutMs)) as ControlAnswer;
-                if (isHandled(answer)) {
-                    return answer;
-                }
+            const answer = await call(timeoutMs);
+            if (isHandled(answer)) {
+                this.answer ??= answer;
             }
-            return { kind: "notLeader", leader: undefined };
         }
         catch (error) {
-            logger.warn("leader-not-reached", { leader: leaderId, call: call.kind, message: describeError(error) });
-            return { kind: "unavailable", message: describeError(error) };
+            const leader = typeof key === "string" ? key : undefined;
+            this.logger.warn("leader-not-reached", { leader, call: this.kind, message: describeError(error) });
         }
+        this.pending.delete(key);
     }
 }
 
@@ -66,12 +130,26 @@
     return answer.kind !== "notLeader" && answer.kind !== "unavailable";
 }
 
-function withTimeout<Value>(promise: Promise<Value>, timeoutMs: number): Promise<Value> {
-    return new Promise((resolve, reject) => {
-        const timer = setTimeout(
-            () => reject(new KumquathallError(`the leader did not answer within ${Math.round(timeoutMs)} ms`)),
-            Math.max(1, timeoutMs),
-        );
-        promise.then(resolve, reject).finally(() => clearTimeout(timer));
+/** Whether a call that two members handle has the same effect as one that is handled once. */
+function isRepeatable(call: ControlCall): boolean {
+    switch (call.kind) {
+        case "readTraffic":
+        case "query":
+            return true;
+        case "propose":
+            return REPEATABLE_COMMANDS.has(call.command.kind);
+        default:
+            return false;
+    }
+}
+
+/** Commands that change nothing the second time. */
+const REPEATABLE_COMMANDS = new Set<Command["kind"]>(["drain", "undrain", "publishTraffic", "changeTraffic"]);
+
+/** Waits until one of the promises has settled, at most `ms`. */
+function waitAtMost(promises: Promise<void>[], ms: number): Promise<void> {
+    return new Promise(resolve => {
+        const timer = setTimeout(resolve, Math.max(1, ms));
+        void Promise.race(promises).then(resolve).finally(() => clearTimeout(timer));
     });
 }
