Report sends before a cold time until control has answered

A cold endpoint could receive more than its bound: if the call for permits failed, no leader learned of what the gateway had sent before it knew, and granted the whole rate beside it.

Cause: buildWant dropped the times of these sends as the call was built.

Change: they are dropped once the grants have arrived, and only those until the call was built. After a failed call the endpoint is wanted again, so that the next call carries them without a new request. If only the answer was lost, they count twice, which withholds permits for a second. The scenario that expected one report for each want now expects it in each want until control answers, and none after that.

--- a/packages/gateway/src/coldEndpoints.feature
+++ b/packages/gateway/src/coldEndpoints.feature
@@ -71,11 +71,13 @@
         And control is informed 0 times
 
     # Guards against a leader that grants permits beside what gateways have sent just before.
-    Scenario: A want tells control once what was sent within the last second without a permit
+    Scenario: Wants tell control until it answers what was sent within the last second without a permit
         When 2 requests are sent to the endpoint
         And 600 ms go by
         And 3 requests are sent to the endpoint
         And 600 ms go by
         And a heartbeat reports a cold time of 2500 ms
         Then a want tells control of 3 requests
-        And a want tells control of 0 requests
+        And a want tells control of 3 requests
+        When control has answered a want
+        Then a want tells control of 0 requests
--- a/packages/gateway/src/coldEndpoints.steps.ts
+++ b/packages/gateway/src/coldEndpoints.steps.ts
@@ -95,6 +95,8 @@
     },
 );
 
+When("control has answered a want", () => cold.recordReported(ENDPOINT, performance.now()));
+
 Then("a want tells control of {int} requests", (count: number) => {
     strictEqual(cold.buildWant(ENDPOINT, performance.now())?.sent, count);
 });
--- a/packages/gateway/src/coldEndpoints.ts
+++ b/packages/gateway/src/coldEndpoints.ts
@@ -148,7 +148,10 @@
         return this.countUnreported(endpoint, now) > 0;
     }
 
-    /** Builds what a want of permits says of an endpoint that is known to be cold. */
+    /**
+     * Builds what a want of permits says of an endpoint that is known to be cold. What was sent before counts as unreported
+     * until {@link recordReported}, since the call may fail.
+     */
     buildWant(endpoint: string, now: number): ColdWant | undefined {
         const rate = this.findRate(endpoint, now);
         const cold = this.findProfile(endpoint);
@@ -156,10 +159,20 @@
             return undefined;
         }
         const sent = this.countUnreported(endpoint, now);
-        this.sends.delete(endpoint);
         return { perSecond: rate.perSecond, maxInSecond: GRANTED_PART * this.computeBound(cold), sent };
     }
 
+    /** Records that control has answered a want that was built at `builtAt`. */
+    recordReported(endpoint: string, builtAt: number): void {
+        const later = this.sends.get(endpoint)?.filter(at => at > builtAt) ?? [];
+        if (later.length === 0) {
+            this.sends.delete(endpoint);
+        }
+        else {
+            this.sends.set(endpoint, later);
+        }
+    }
+
     /** Removes what no longer counts. */
     removeStale(now: number): void {
         this.board.removeEnded(now);
--- a/packages/gateway/src/endpointLimits.feature
+++ b/packages/gateway/src/endpointLimits.feature
@@ -25,6 +25,14 @@
         When control does not answer, and a request is tried every 10 ms for 10 s
         Then 9 to 11 requests are sent
 
+    # Guards against a leader that grants permits beside requests of which it never learns, since the call with them failed.
+    Scenario: What was sent before an endpoint was cold is told again until control has granted
+        Given an endpoint of a service with a cold time, to which 3 requests were sent
+        When control does not answer, and the endpoint becomes cold
+        And control answers again
+        And 600 ms pass without a request
+        Then control was told of 3 requests in each failed call, and once in a call that it answered
+
     # Guards against a permit that is used long after it was granted, beside those that were granted since.
     Scenario: Permits expire
         Given an endpoint that names the limit "2"
--- a/packages/gateway/src/endpointLimits.steps.ts
+++ b/packages/gateway/src/endpointLimits.steps.ts
@@ -2,7 +2,8 @@
 import { createLogger } from "@kumquathall/logger";
 import type { PermitWant } from "@kumquathall/types";
 import { type Clock, install } from "@sinonjs/fake-timers";
-import { ok, strictEqual } from "node:assert";
+import { deepStrictEqual, ok, strictEqual } from "node:assert";
+import { ColdEndpoints, type ColdView } from "./coldEndpoints.js";
 import { EndpointLimits } from "./endpointLimits.js";
 
 const ENDPOINT = "e@1";
@@ -16,9 +17,13 @@
 let canGrant = true;
 let calls = 0;
 let sent = 0;
+let cold: ColdEndpoints | undefined;
+/** Requests before the cold time of which each call has told, and whether control answered it. */
+let reports: { sent: number | undefined; isAnswered: boolean }[] = [];
 
 function takePermits(wants: PermitWant[]) {
     calls++;
+    reports.push(...wants.map(want => ({ sent: want.cold?.sent, isAnswered: canGrant })));
     return canGrant
         ? Promise.resolve(wants.map(({ endpoint, count }) => ({ endpoint, count, nextMs: 0, retryAfterMs: 0 })))
         : Promise.reject(new Error("no leader"));
@@ -53,6 +58,8 @@
     canGrant = true;
     calls = 0;
     sent = 0;
+    cold = undefined;
+    reports = [];
     limits = new EndpointLimits({
         logger: createLogger({ write: line => lines.push(line) }),
         sendAll: facts => told.push(...facts.map(fact => fact.perSecond)),
@@ -63,6 +70,7 @@
 });
 
 After({ tags: "@endpoint-limits" }, () => {
+    cold?.close();
     limits.close();
     clock.uninstall();
 });
@@ -90,6 +98,52 @@
 
 When("{int} ms pass without a request", (ms: number) => clock.tickAsync(ms));
 
+Given("an endpoint of a service with a cold time, to which {int} requests were sent", (count: number) => {
+    const logger = createLogger({ write: () => undefined });
+    const view: ColdView = { service: "s", dataCentre: "d", heartbeatAt: 0 };
+    const profile = { durationMs: 3000, perSecond: 32 };
+    const coldEndpoints: ColdEndpoints = new ColdEndpoints({
+        logger,
+        findView: () => view,
+        getService: name => ({ name, maxConnections: 64, engine: undefined, cold: profile }),
+        hasContact: () => true,
+        countGateways: () => GATEWAYS,
+        sendAll: () => undefined,
+        onCold: endpoint => limits.restartPermits(endpoint, performance.now()),
+    });
+    cold = coldEndpoints;
+    limits = new EndpointLimits({
+        logger,
+        sendAll: () => undefined,
+        takePermits,
+        countGateways: () => GATEWAYS,
+        cold: coldEndpoints,
+        random: () => 0,
+    });
+    for (let at = 0; at < count; at++) {
+        limits.takePermit(ENDPOINT, performance.now());
+    }
+});
+
+When("control does not answer, and the endpoint becomes cold", async () => {
+    canGrant = false;
+    limits.recordCold(ENDPOINT, 3000, performance.now());
+    await clock.tickAsync(10);
+});
+
+When("control answers again", () => {
+    canGrant = true;
+});
+
+Then(
+    "control was told of {int} requests in each failed call, and once in a call that it answered",
+    (count: number) => {
+        const [failed, ...answered] = reports;
+        deepStrictEqual(failed, { sent: count, isAnswered: false });
+        deepStrictEqual(answered, [{ sent: count, isAnswered: true }]);
+    },
+);
+
 Then("{int} line says that a limit is invalid", (count: number) => {
     strictEqual(lines.filter(line => line.includes("event=endpoint-limit-invalid ")).length, count);
 });
--- a/packages/gateway/src/endpointLimits.ts
+++ b/packages/gateway/src/endpointLimits.ts
@@ -275,19 +275,21 @@
 
     private async callForPermits(): Promise<void> {
         this.callTimer = undefined;
-        const wants = this.collectWants(performance.now());
+        const calledAt = performance.now();
+        const wants = this.collectWants(calledAt);
         if (wants.length === 0) {
             return;
         }
-        const calledAt = performance.now();
         this.lastCallAt = calledAt;
         this.lastWants = wants.length;
         this.isCalling = true;
         try {
             const grants = await this.options.takePermits(wants);
             this.applyGrants(grants, calledAt, performance.now());
+            this.recordReported(wants, grants, calledAt);
         }
         catch (error) {
+            this.recoverReports(wants);
             if (!this.isDetached) {
                 this.options.logger.info("permits-not-granted", { message: describeError(error) });
             }
@@ -312,6 +314,18 @@
         grants.forEach(grant => this.getOrCreateStock(grant.endpoint).apply(grant, calledAt, now));
     }
 
+    private recordReported(wants: PermitWant[], grants: PermitGrant[], builtAt: number): void {
+        const granted = new Set(grants.map(grant => grant.endpoint));
+        wants.filter(want => want.cold !== undefined && granted.has(want.endpoint))
+            .forEach(want => this.options.cold?.recordReported(want.endpoint, builtAt));
+    }
+
+    /** Wants again what carries requests of which control must be told, since a failed call may not have arrived. */
+    private recoverReports(wants: PermitWant[]): void {
+        wants.filter(({ cold }) => cold !== undefined && cold.sent > 0)
+            .forEach(({ endpoint }) => this.wanted.set(endpoint, this.getOrCreateStock(endpoint)));
+    }
+
     /** Whether control may have a permit that some request wants, or has to be told of requests without one. */
     private mustCall(endpoint: string, stock: PermitStock, now: number): boolean {
         const { cold } = this.options;
