Grant at least one request at a time to cold endpoints

A cold endpoint got no permit while few gateways were linked, and each gateway called for one at each interval.

Cause: the linked part of the bound on a second could be below one request. Its room was then always 0, and the time to the next permit 0.

Change: the part is at least one request; the rate stays that of the linked part.

--- a/packages/endpoint-limits/src/limitArbiter.ts
+++ b/packages/endpoint-limits/src/limitArbiter.ts
@@ -107,7 +107,8 @@
         const grant = grantFrom(bucket, gateway, want, {
             perSecond: Math.min(limit, cold.perSecond) * part,
             accumulateMs: COLD_ACCUMULATE_MS,
-            maxInSecond: cold.maxInSecond * part,
+            // Below one request, there would never be room for a permit.
+            maxInSecond: Math.max(1, cold.maxInSecond * part),
         }, now);
         // A permit may be used until the end of its time, and then counts for another second.
         bucket.sends.add(grant.count, now + COLD_PERMIT_VALID_MS + MS_PER_SECOND);
--- a/packages/endpoint-limits/src/limitBoard.feature
+++ b/packages/endpoint-limits/src/limitBoard.feature
@@ -65,6 +65,13 @@
         Then a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1000 ms gets 0
         And a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1110 ms gets 1
 
+    # Guards against a cold endpoint that never gets a permit because the linked part of the bound is below one request.
+    Scenario: While few of the gateways are linked, permits for a cold endpoint still come
+        Given a part of 0.02 of the gateways is linked
+        Then a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 1000 ms gets 0
+        And a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 3000 ms gets 1
+        And a gateway that wants 9 permits of a cold endpoint with a rate of 32 at 3100 ms gets 0 and is told to return after 1000 to 2000 ms
+
     # Guards against a leader that grants the whole rate while gateways without contact use shares of it.
     Scenario: While half of the gateways are linked, half of the cold rate is granted
         Given a part of 0.5 of the gateways is linked
--- a/packages/endpoint-limits/src/limitBoard.steps.ts
+++ b/packages/endpoint-limits/src/limitBoard.steps.ts
@@ -95,6 +95,15 @@
     },
 );
 
+Then(
+    "a gateway that wants {int} permits of a cold endpoint with a rate of {int} at {int} ms gets {int} and is told to return after {int} to {int} ms",
+    (count: number, perSecond: number, at: number, expected: number, least: number, most: number) => {
+        const granted = grantCold(count, perSecond, 0, at);
+        strictEqual(granted.count, expected);
+        ok(granted.nextMs >= least && granted.nextMs <= most, `${granted.nextMs} ms`);
+    },
+);
+
 Then("the permits of a cold endpoint are valid for {int} ms", (validMs: number) => {
     strictEqual(grantCold(0, COLD_RATE, 0, 0).validMs, validMs);
 });
