Look up no endpoints for cold times that no service declares

Each choice of an endpoint looked up the view and the service of each candidate for its cold time, also in deployments that declare none.

Cause: only the looked-up service tells whether a cold time is declared.

Change: the route table knows whether any service declares one, and ColdEndpoints looks up nothing otherwise.

The saved time was not measured.

--- a/packages/gateway/src/coldEndpoints.feature
+++ b/packages/gateway/src/coldEndpoints.feature
@@ -70,6 +70,26 @@
         Then the endpoint is not limited
         And control is informed 0 times
 
+    # Guards against look-ups for each endpoint and choice in deployments that declare no cold time.
+    Scenario: Where no service declares a cold time, no endpoint is looked up
+        Given a service without a cold time
+        When 2 requests are sent to the endpoint
+        And a response reports a cold time of 2500 ms
+        Then the endpoint is not limited
+        And 0 endpoints were looked up
+
+    Scenario Outline: The route table tells whether a service declares a cold time after <updates>
+        When a route table applies <updates>
+        Then a cold time is <declared>
+
+        Examples:
+            | updates                                                        | declared     |
+            | nothing                                                        | not declared |
+            | a snapshot without a cold time                                 | not declared |
+            | a snapshot with a cold time                                    | declared     |
+            | a snapshot with a cold time, a difference without a cold time  | not declared |
+            | a snapshot without a cold time, a difference with a cold time  | declared     |
+
     # Guards against a leader that grants permits beside what gateways have sent just before.
     Scenario: Wants tell control until it answers what was sent within the last second without a permit
         When 2 requests are sent to the endpoint
--- a/packages/gateway/src/coldEndpoints.steps.ts
+++ b/packages/gateway/src/coldEndpoints.steps.ts
@@ -4,6 +4,7 @@
 import { type Clock, install } from "@sinonjs/fake-timers";
 import { deepStrictEqual, strictEqual } from "node:assert";
 import { ColdEndpoints, type ColdView } from "./coldEndpoints.js";
+import { RouteTable } from "./routeTable.js";
 
 const ENDPOINT = "e@1";
 
@@ -14,17 +15,24 @@
 let hasContact = true;
 let lines: string[] = [];
 let sent: ColdFact[] = [];
+let lookUps = 0;
+let table: RouteTable;
 
 Before({ tags: "@cold-endpoints" }, () => {
     clock = install({ toFake: ["setTimeout", "clearTimeout", "performance", "Date"] });
     lines = [];
     sent = [];
+    lookUps = 0;
     hasContact = true;
     view = { service: "s", dataCentre: "d", heartbeatAt: performance.now() };
     cold = new ColdEndpoints({
         logger: createLogger({ write: line => lines.push(line) }),
-        findView: () => view,
+        findView: () => {
+            lookUps++;
+            return view;
+        },
         getService: name => ({ name, maxConnections: 64, engine: undefined, cold: profile }),
+        isDeclared: () => profile !== undefined,
         hasContact: () => hasContact,
         countGateways: () => 4,
         sendAll: facts => sent.push(...facts),
@@ -80,6 +88,34 @@
     strictEqual(cold.findRate(ENDPOINT, performance.now()) === undefined ? "not limited" : "limited", expected);
 });
 
+Then("{int} endpoints were looked up", (count: number) => strictEqual(lookUps, count));
+
+When(/^a route table applies (nothing|a .*)$/, (updates: string) => {
+    table = new RouteTable();
+    for (const update of updates === "nothing" ? [] : updates.split(", ")) {
+        const declared = update.includes("with a ") ? { durationMs: 3000, perSecond: 32 } : undefined;
+        table.apply({
+            isSnapshot: update.startsWith("a snapshot"),
+            since: 0,
+            revision: 1,
+            changes: [{
+                key: "traffic",
+                revision: 1,
+                value: {
+                    kind: "traffic",
+                    version: 1,
+                    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+                    services: [{ name: "s", maxConnections: 64, engine: undefined, cold: declared }],
+                },
+            }],
+        });
+    }
+});
+
+Then(/^a cold time is (declared|not declared)$/, (expected: string) => {
+    strictEqual(table.hasColdService() ? "declared" : "not declared", expected);
+});
+
 Then("control is informed {int} times", (count: number) => strictEqual(sent.length, count));
 
 Then("control is informed {int} times, of at most {int} ms", (count: number, mostMs: number) => {
--- a/packages/gateway/src/coldEndpoints.ts
+++ b/packages/gateway/src/coldEndpoints.ts
@@ -16,6 +16,8 @@
     logger: Logger;
     findView: (endpoint: string) => ColdView | undefined;
     getService: (name: string) => TrafficService | undefined;
+    /** Whether any service declares a cold time; without one, nothing is looked up. */
+    isDeclared?: () => boolean;
     /** Whether a control member is linked that has sent what it knows of the endpoints. */
     hasContact: () => boolean;
     /** Counts the gateways that share the limits. */
@@ -189,6 +191,9 @@
     }
 
     private findProfile(endpoint: string): ColdProfile | undefined {
+        if (this.options.isDeclared?.() === false) {
+            return undefined;
+        }
         const view = this.options.findView(endpoint);
         return view === undefined ? undefined : this.options.getService(view.service)?.cold;
     }
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -150,6 +150,7 @@
             logger,
             findView: key => this.tracker.findView(key),
             getService: name => this.reader.getTable()?.getService(name),
+            isDeclared: () => this.reader.getTable()?.hasColdService() === true,
             hasContact: () => [...this.informed].some(link => link.isOpen()),
             countGateways: () => this.directory.countGateways(),
             sendAll: facts => this.directory.castAll({ kind: "coldEndpoints", facts }),
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -49,6 +49,7 @@
     private readonly accountsByKey = new Map<string, TrafficAccount>();
     private readonly evacuations = new Evacuations();
     private accountCount = 0;
+    private isColdDeclared = false;
     /** Shortest gap objectives by service, as far as they have been computed since the last change of a route. */
     private readonly gapObjectives = new Map<string, number | undefined>();
     private current: Extract<ConfigurationValue, { kind: "traffic" }> | undefined;
@@ -67,6 +68,11 @@
         return this.current?.services.find(service => service.name === name);
     }
 
+    /** Whether any service declares a cold time. */
+    hasColdService(): boolean {
+        return this.isColdDeclared;
+    }
+
     /** Whether nothing new may be sent to the endpoints of a data centre. */
     isEvacuated(dataCentre: string): boolean {
         return this.evacuations.has(dataCentre);
@@ -135,6 +141,7 @@
         this.entries.delete(key);
         if (value?.kind === "traffic") {
             this.current = undefined;
+            this.isColdDeclared = false;
         }
         else if (value?.kind === "trafficRoute") {
             this.hosts.get(value.route.host.toLowerCase())?.remove(value.route);
@@ -156,6 +163,7 @@
         this.entries.set(key, value);
         if (value.kind === "traffic") {
             this.current = value;
+            this.isColdDeclared = value.services.some(service => service.cold !== undefined);
         }
         else if (value.kind === "trafficRoute") {
             const host = value.route.host.toLowerCase();
