--- a/packages/gateway/src/endpointChooser.ts
+++ b/packages/gateway/src/endpointChooser.ts
@@ -161,8 +161,10 @@
         { permitted, limited }: EndpointsByPermit,
         times: EndpointChoiceTimes,
     ): EndpointChoice {
-        const choice = this.chooseBelowColdShare(permitted, times.now, (endpoints, others) =>
-            this.chooseGroup(target, endpoints, [...others, ...limited], times)
+        const choice = this.chooseBelowColdShare(
+            permitted,
+            times.now,
+            (endpoints, others) => this.chooseGroup(target, endpoints, [...others, ...limited], times),
         );
         choice.candidates = permitted.length + limited.length;
         choice.limited = limited.length;
