Decide in one place whether a cold time has changed

Cause of possible faults: whether a cold time has begun, been renewed or ended was written three times, in the endpoint registry, the fact filter of control and the sidecar, which must agree for a change to reach gateways at once.

Change: all three use isColdTimeChanged of endpoint-registry, which has examples of its own. Behaviour is unchanged, so no test failed before. The sidecar depends on endpoint-registry, which depends on types only.

--- a/packages/control/src/factFilter.ts
+++ b/packages/control/src/factFilter.ts
@@ -1,4 +1,4 @@
-import { FactEffect, type FactEffectValue } from "@kumquathall/endpoint-registry";
+import { FactEffect, type FactEffectValue, isColdTimeChanged } from "@kumquathall/endpoint-registry";
 import { type EndpointFact, EngineGroupState, type HeartbeatFact, type ObservationFact } from "@kumquathall/types";
 
 /** Interval at which observations that change nothing for gateways are forwarded, in milliseconds. */
@@ -75,7 +75,7 @@
     const leftGroup = left?.engine?.group;
     const rightGroup = right.engine?.group;
     return left !== undefined && left.isReachable === right.isReachable && left.bornMs === right.bornMs
-        && left.observerStartedMs === right.observerStartedMs && !isColdChanged(left, right)
+        && left.observerStartedMs === right.observerStartedMs && !isColdTimeChanged(left.coldMs, right.coldMs)
         && leftGroup?.name === rightGroup?.name
         && leftGroup?.epoch === rightGroup?.epoch && leftGroup?.rank === rightGroup?.rank
         && leftGroup?.state === rightGroup?.state;
@@ -84,8 +84,3 @@
 function isOpenHead({ engine }: ObservationFact): boolean {
     return engine?.group?.rank === 0 && engine.group.state === EngineGroupState.Open;
 }
-
-/** Whether a cold time has begun, been renewed or ended. */
-function isColdChanged({ coldMs: before = 0 }: ObservationFact, { coldMs = 0 }: ObservationFact): boolean {
-    return coldMs > before || (coldMs === 0 && before > 0);
-}
--- a/packages/endpoint-registry/src/endpointRegistry.feature
+++ b/packages/endpoint-registry/src/endpointRegistry.feature
@@ -142,3 +142,15 @@
         Then endpoint "a" is cold until 3700 ms
         When endpoint "a" started at 200 sends a heartbeat with sequence 1 and a cold time of 0 ms at 2300 ms
         Then endpoint "a" is cold until 0 ms
+
+    # Guards against a renewed cold time that is held back as load, and against a running one that is passed on each time.
+    Scenario Outline: A cold time of <known> ms and then <next> ms is <kind>
+        Then a cold time of <known> ms and then <next> ms is <kind>
+
+        Examples:
+            | known | next | kind      |
+            | 0     | 0    | unchanged |
+            | 0     | 2500 | a change  |
+            | 2500  | 1300 | unchanged |
+            | 1300  | 2500 | a change  |
+            | 1300  | 0    | a change  |
--- a/packages/endpoint-registry/src/endpointRegistry.steps.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.steps.ts
@@ -2,6 +2,7 @@
 import type { EndpointFact, ObservationFact } from "@kumquathall/types";
 import { deepStrictEqual, strictEqual } from "node:assert";
 import { EndpointRegistry, type EndpointView } from "./endpointRegistry.js";
+import { isColdTimeChanged } from "./isColdTimeChanged.js";
 
 const EXPIRE_AFTER_MS = 1000;
 const HEARTBEAT_MS = 1000;
@@ -269,3 +270,10 @@
 Then("endpoint {string} is cold until {int} ms", (id: string, until: number) => {
     strictEqual(getView(id)?.coldUntil ?? 0, until);
 });
+
+Then(
+    /^a cold time of (\d+) ms and then (\d+) ms is (a change|unchanged)$/,
+    (known: string, next: string, kind: string) => {
+        strictEqual(isColdTimeChanged(Number(known), Number(next)), kind === "a change");
+    },
+);
--- a/packages/endpoint-registry/src/endpointRegistry.ts
+++ b/packages/endpoint-registry/src/endpointRegistry.ts
@@ -6,6 +6,7 @@
     type HeartbeatFact,
     type ObservationFact,
 } from "@kumquathall/types";
+import { isColdTimeChanged } from "./isColdTimeChanged.js";
 
 export interface EndpointRegistryOptions {
     /** Time after which a fact expires unless a newer one has replaced it, in milliseconds. */
@@ -431,7 +432,7 @@
 
 /** A cold time that begins, is renewed or ends changes what the endpoint may be sent; one that runs down is load. */
 function compareColdTimes(known = 0, coldMs = 0): FactEffectValue {
-    if (coldMs > known || (coldMs === 0 && known > 0)) {
+    if (isColdTimeChanged(known, coldMs)) {
         return FactEffect.State;
     }
     return coldMs > 0 ? FactEffect.Load : FactEffect.Refresh;
--- a/packages/endpoint-registry/src/index.ts
+++ b/packages/endpoint-registry/src/index.ts
@@ -15,4 +15,5 @@
     isSocketAddress,
 } from "./findFactFault.js";
 export { findColdFault, findCrashFault, findLimitFault, findWantFault } from "./findReportFault.js";
+export { isColdTimeChanged } from "./isColdTimeChanged.js";
 export { pickFact } from "./pickFact.js";
--- a/packages/sidecar/src/sidecarRole.ts
+++ b/packages/sidecar/src/sidecarRole.ts
@@ -1,4 +1,5 @@
 import { ControlDirectory } from "@kumquathall/control-directory";
+import { isColdTimeChanged } from "@kumquathall/endpoint-registry";
 import { describeError } from "@kumquathall/errors";
 import {
     createIdentity,
@@ -141,7 +142,7 @@
     }
 
     private setColdTime(coldMs: number): void {
-        if (coldMs > this.coldMs || (coldMs === 0 && this.coldMs > 0)) {
+        if (isColdTimeChanged(this.coldMs, coldMs)) {
             this.coldChanges++;
         }
         this.coldMs = coldMs;
