Keep the time of a data centre's return in one place

RouteTable.getReturnedAt and Evacuations.returnedAt were read only by a test; the gateway uses the time that ColdEndpoints.recordReturn stores.

Change: both are removed, with the time that was passed to apply. The test no longer asks them; the reported changes, which the gateway passes to ColdEndpoints, still show each return. No behaviour changes, so no test failed before.

--- a/packages/gateway/src/evacuation.feature
+++ b/packages/gateway/src/evacuation.feature
@@ -3,21 +3,21 @@
 
     # Guards against evacuations that are lost or stay when an update replaces everything, holds more kinds of entries than
     # the gateway reads, or repeats what is known; and against returns that are reported again.
-    Scenario Outline: After <updates> the evacuated data centres are <evacuated>, and <returned> have returned
+    Scenario Outline: After <updates> the evacuated data centres are <evacuated>
         When a gateway applies <updates>
-        Then the evacuated data centres are "<evacuated>", and "<returned>" have returned since their last evacuation
+        Then the evacuated data centres are "<evacuated>"
         And the reported changes are "<changes>"
 
         Examples:
-            | updates                                        | evacuated | returned | changes        |
-            | a snapshot of a                                | a         |          | +a             |
-            | a snapshot of a, a difference of +b            | a b       |          | +a +b          |
-            | a snapshot of a, a difference of -a            |           | a        | +a -a          |
-            | a difference of +a, a difference of +a         | a         |          | +a             |
-            | a snapshot of a, a snapshot of a               | a         |          | +a             |
-            | a snapshot of a b, a snapshot of b             | b         | a        | +a +b -a       |
-            | a snapshot of a, a difference of -a, a difference of +a | a |          | +a -a +a       |
-            | a difference of -a                             |           |          |                |
+            | updates                                                 | evacuated | changes  |
+            | a snapshot of a                                         | a         | +a       |
+            | a snapshot of a, a difference of +b                     | a b       | +a +b    |
+            | a snapshot of a, a difference of -a                     |           | +a -a    |
+            | a difference of +a, a difference of +a                  | a         | +a       |
+            | a snapshot of a, a snapshot of a                        | a         | +a       |
+            | a snapshot of a b, a snapshot of b                      | b         | +a +b -a |
+            | a snapshot of a, a difference of -a, a difference of +a | a         | +a -a +a |
+            | a difference of -a                                      |           |          |
 
     # Guards against a gateway that sends requests to a data centre after it has applied the evacuation.
     Scenario: After an evacuation requests go to the other data centres only, and after its withdrawal to all
--- a/packages/gateway/src/evacuation.steps.ts
+++ b/packages/gateway/src/evacuation.steps.ts
@@ -73,15 +73,14 @@
 
 When(/^a gateway applies (a (?:snapshot|difference) of .*)$/, (updates: string) => {
     table = new RouteTable();
-    changes = updates.split(", ").flatMap((text, at) => table.apply(parseUpdate(text), at));
+    changes = updates.split(", ").flatMap(text => table.apply(parseUpdate(text)));
 });
 
 Then(
-    "the evacuated data centres are {string}, and {string} have returned since their last evacuation",
-    (evacuated: string, returned: string) => {
+    "the evacuated data centres are {string}",
+    (evacuated: string) => {
         const names = ["a", "b"];
         deepStrictEqual(names.filter(name => table.isEvacuated(name)), splitWords(evacuated));
-        deepStrictEqual(names.filter(name => table.getReturnedAt(name) !== undefined), splitWords(returned));
         strictEqual(table.countEvacuated(), splitWords(evacuated).length);
     },
 );
--- a/packages/gateway/src/evacuations.ts
+++ b/packages/gateway/src/evacuations.ts
@@ -10,11 +10,9 @@
 /** Data centres whose endpoints get nothing new, as control members distribute them. */
 export class Evacuations {
     private evacuated = new Set<string>();
-    /** Monotonic times at which withdrawals were applied, in milliseconds. */
-    private readonly returnedAt = new Map<string, number>();
 
     /** Applies the changes of an update and returns what differs; a snapshot replaces everything. */
-    apply(update: ConfigurationUpdate, now: number): EvacuationChange[] {
+    apply(update: ConfigurationUpdate): EvacuationChange[] {
         const next = new Set(update.isSnapshot ? [] : this.evacuated);
         for (const { key, value } of update.changes) {
             if (!key.startsWith(EVACUATION_KEY_PREFIX)) {
@@ -30,8 +28,6 @@
         }
         const begun = [...next].filter(dataCentre => !this.evacuated.has(dataCentre));
         const withdrawn = [...this.evacuated].filter(dataCentre => !next.has(dataCentre));
-        begun.forEach(dataCentre => this.returnedAt.delete(dataCentre));
-        withdrawn.forEach(dataCentre => this.returnedAt.set(dataCentre, now));
         this.evacuated = next;
         return [
             ...begun.map(dataCentre => ({ dataCentre, isEvacuated: true })),
@@ -43,11 +39,6 @@
         return this.evacuated.has(dataCentre);
     }
 
-    /** Time at which the withdrawal was applied; `undefined` if there was none or the data centre is evacuated again. */
-    getReturnedAt(dataCentre: string): number | undefined {
-        return this.returnedAt.get(dataCentre);
-    }
-
     count(): number {
         return this.evacuated.size;
     }
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -78,11 +78,6 @@
         return this.evacuations.has(dataCentre);
     }
 
-    /** Monotonic time at which the withdrawal of an evacuation was applied; `undefined` without one. */
-    getReturnedAt(dataCentre: string): number | undefined {
-        return this.evacuations.getReturnedAt(dataCentre);
-    }
-
     countEvacuated(): number {
         return this.evacuations.count();
     }
@@ -104,7 +99,7 @@
      * Applies the changes of an update; a snapshot replaces everything. Entries of other kinds are ignored. Returns the
      * evacuations that differ.
      */
-    apply(update: ConfigurationUpdate, now = performance.now()): EvacuationChange[] {
+    apply(update: ConfigurationUpdate): EvacuationChange[] {
         const changes = new Map(update.changes.map(change => [change.key, change.value]));
         const replaced = update.isSnapshot ? [...this.entries.keys()] : [...changes.keys()];
         // A key may move from one account to another: everything old is removed before anything new is added.
@@ -117,7 +112,7 @@
                 this.addEntry(key, value);
             }
         }
-        return this.evacuations.apply(update, now);
+        return this.evacuations.apply(update);
     }
 
     /** Finds the route of a host with the longest matching path prefix; ignores the host's port and the query. */
--- a/packages/gateway/src/trafficConfigurationReader.ts
+++ b/packages/gateway/src/trafficConfigurationReader.ts
@@ -208,7 +208,7 @@
         const previous = this.table.getVersion();
         const now = performance.now();
         const announcedAt = this.pending[0]?.announcedAt ?? now;
-        const evacuations = this.table.apply(update, now);
+        const evacuations = this.table.apply(update);
         this.options.onUpdate?.(update);
         this.revision = update.revision;
         this.pending = this.pending.filter(item => item.revision > update.revision);
