--- a/packages/gateway/src/coldEndpoints.feature
+++ b/packages/gateway/src/coldEndpoints.feature
@@ -24,6 +24,20 @@
         When 3010 ms go by
         Then the endpoint is not limited
 
+    # Guards against an odd value whose end, minutes away, hides all later reports and keeps the endpoint unlimited.
+    Scenario Outline: A report that exceeds the declared time does not hide the ones after it
+        When <source> reports a cold time of 500000 ms
+        And 3010 ms go by
+        Then the endpoint is not limited
+        When a response reports a cold time of 3000 ms
+        Then the endpoint is limited
+        And control is informed <informed> times, of at most 3000 ms
+
+        Examples:
+            | source          | informed |
+            | a response      | 2        |
+            | another gateway | 1        |
+
     Scenario Outline: Endpoints of a data centre that returns are cold until a later heartbeat, or for the declared time
         When data centre "<data centre>" returns
         Then the endpoint is <before>
@@ -56,12 +70,34 @@
         Then the endpoint is not limited
         And control is informed 0 times
 
+    # Guards against look-ups for each endpoint and choice in deployments that declare no cold time.
+    Scenario: Where no service declares a cold time, no endpoint is looked up
+        Given a service without a cold time
+        When 2 requests are sent to the endpoint
+        And a response reports a cold time of 2500 ms
+        Then the endpoint is not limited
+        And 0 endpoints were looked up
+
+    Scenario Outline: The route table tells whether a service declares a cold time after <updates>
+        When a route table applies <updates>
+        Then a cold time is <declared>
+
+        Examples:
+            | updates                                                        | declared     |
+            | nothing                                                        | not declared |
+            | a snapshot without a cold time                                 | not declared |
+            | a snapshot with a cold time                                    | declared     |
+            | a snapshot with a cold time, a difference without a cold time  | not declared |
+            | a snapshot without a cold time, a difference with a cold time  | declared     |
+
     # Guards against a leader that grants permits beside what gateways have sent just before.
-    Scenario: A want tells control once what was sent within the last second without a permit
+    Scenario: Wants tell control until it answers what was sent within the last second without a permit
         When 2 requests are sent to the endpoint
         And 600 ms go by
         And 3 requests are sent to the endpoint
         And 600 ms go by
         And a heartbeat reports a cold time of 2500 ms
         Then a want tells control of 3 requests
-        And a want tells control of 0 requests
+        And a want tells control of 3 requests
+        When control has answered a want
+        Then a want tells control of 0 requests
--- a/packages/gateway/src/coldEndpoints.ts
+++ b/packages/gateway/src/coldEndpoints.ts
@@ -16,6 +16,8 @@
     logger: Logger;
     findView: (endpoint: string) => ColdView | undefined;
     getService: (name: string) => TrafficService | undefined;
+    /** Whether any service declares a cold time; without one, nothing is looked up. */
+    isDeclared?: () => boolean;
     /** Whether a control member is linked that has sent what it knows of the endpoints. */
     hasContact: () => boolean;
     /** Counts the gateways that share the limits. */
@@ -87,7 +89,7 @@
 
     /** Records that a response of an endpoint says that it stays cold for `coldMs`. */
     recordResponse(endpoint: string, coldMs: number, now: number): void {
-        const fact = { endpoint, coldMs, ageMs: 0 };
+        const fact = this.applyProfile({ endpoint, coldMs, ageMs: 0 });
         if (this.findProfile(endpoint) !== undefined && this.board.record(fact, now)) {
             this.options.sendAll([fact]);
             this.check(endpoint, now);
@@ -96,7 +98,9 @@
 
     /** Records what control has received from other gateways. */
     record(facts: ColdFact[], now: number): void {
-        facts.filter(fact => this.board.record(fact, now)).forEach(fact => this.check(fact.endpoint, now));
+        facts.map(fact => this.applyProfile(fact))
+            .filter(fact => this.board.record(fact, now))
+            .forEach(fact => this.check(fact.endpoint, now));
     }
 
     /**
@@ -146,7 +150,10 @@
         return this.countUnreported(endpoint, now) > 0;
     }
 
-    /** Builds what a want of permits says of an endpoint that is known to be cold. */
+    /**
+     * Builds what a want of permits says of an endpoint that is known to be cold. What was sent before counts as unreported
+     * until {@link recordReported}, since the call may fail.
+     */
     buildWant(endpoint: string, now: number): ColdWant | undefined {
         const rate = this.findRate(endpoint, now);
         const cold = this.findProfile(endpoint);
@@ -154,10 +161,20 @@
             return undefined;
         }
         const sent = this.countUnreported(endpoint, now);
-        this.sends.delete(endpoint);
         return { perSecond: rate.perSecond, maxInSecond: GRANTED_PART * this.computeBound(cold), sent };
     }
 
+    /** Records that control has answered a want that was built at `builtAt`. */
+    recordReported(endpoint: string, builtAt: number): void {
+        const later = this.sends.get(endpoint)?.filter(at => at > builtAt) ?? [];
+        if (later.length === 0) {
+            this.sends.delete(endpoint);
+        }
+        else {
+            this.sends.set(endpoint, later);
+        }
+    }
+
     /** Removes what no longer counts. */
     removeStale(now: number): void {
         this.board.removeEnded(now);
@@ -174,10 +191,22 @@
     }
 
     private findProfile(endpoint: string): ColdProfile | undefined {
+        if (this.options.isDeclared?.() === false) {
+            return undefined;
+        }
         const view = this.options.findView(endpoint);
         return view === undefined ? undefined : this.options.getService(view.service)?.cold;
     }
 
+    /**
+     * Limits a cold time to the one that the service declares. The board compares ends, so that a longer one would hide
+     * every report that comes before its end.
+     */
+    private applyProfile(fact: ColdFact): ColdFact {
+        const maxMs = this.findProfile(fact.endpoint)?.durationMs ?? Number.POSITIVE_INFINITY;
+        return { ...fact, coldMs: Math.min(maxMs, fact.coldMs) };
+    }
+
     /** Computes how long an endpoint stays cold by the latest end that any source names, in milliseconds; at least 0. */
     private computeLeftMs(endpoint: string, now: number): number {
         const view = this.options.findView(endpoint);
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -49,6 +49,7 @@
     private readonly accountsByKey = new Map<string, TrafficAccount>();
     private readonly evacuations = new Evacuations();
     private accountCount = 0;
+    private isColdDeclared = false;
     /** Shortest gap objectives by service, as far as they have been computed since the last change of a route. */
     private readonly gapObjectives = new Map<string, number | undefined>();
     private current: Extract<ConfigurationValue, { kind: "traffic" }> | undefined;
@@ -67,16 +68,16 @@
         return this.current?.services.find(service => service.name === name);
     }
 
+    /** Whether any service declares a cold time. */
+    hasColdService(): boolean {
+        return this.isColdDeclared;
+    }
+
     /** Whether nothing new may be sent to the endpoints of a data centre. */
     isEvacuated(dataCentre: string): boolean {
         return this.evacuations.has(dataCentre);
     }
 
-    /** Monotonic time at which the withdrawal of an evacuation was applied; `undefined` without one. */
-    getReturnedAt(dataCentre: string): number | undefined {
-        return this.evacuations.getReturnedAt(dataCentre);
-    }
-
     countEvacuated(): number {
         return this.evacuations.count();
     }
@@ -98,7 +99,7 @@
      * Applies the changes of an update; a snapshot replaces everything. Entries of other kinds are ignored. Returns the
      * evacuations that differ.
      */
-    apply(update: ConfigurationUpdate, now = performance.now()): EvacuationChange[] {
+    apply(update: ConfigurationUpdate): EvacuationChange[] {
         const changes = new Map(update.changes.map(change => [change.key, change.value]));
         const replaced = update.isSnapshot ? [...this.entries.keys()] : [...changes.keys()];
         // A key may move from one account to another: everything old is removed before anything new is added.
@@ -111,7 +112,7 @@
                 this.addEntry(key, value);
             }
         }
-        return this.evacuations.apply(update, now);
+        return this.evacuations.apply(update);
     }
 
     /** Finds the route of a host with the longest matching path prefix; ignores the host's port and the query. */
@@ -135,6 +136,7 @@
         this.entries.delete(key);
         if (value?.kind === "traffic") {
             this.current = undefined;
+            this.isColdDeclared = false;
         }
         else if (value?.kind === "trafficRoute") {
             this.hosts.get(value.route.host.toLowerCase())?.remove(value.route);
@@ -156,6 +158,7 @@
         this.entries.set(key, value);
         if (value.kind === "traffic") {
             this.current = value;
+            this.isColdDeclared = value.services.some(service => service.cold !== undefined);
         }
         else if (value.kind === "trafficRoute") {
             const host = value.route.host.toLowerCase();
