--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -14,6 +14,7 @@
 const RESTART_MS = 300;
 const HEARTBEAT_MS = 1200;
 const CALL_TIMEOUT_MS = 1000;
+const MEMORY_CHECK_MS = 200;
 const FIRST_OCTET = 60;
 const LAST_OCTET = 250;
 
@@ -63,6 +64,10 @@
         await deployment.reserve();
         deployment.guard = () => deployment.daemons.forEach(daemon => daemon.child?.kill("SIGKILL"));
         process.once("exit", deployment.guard);
+        deployment.memoryTimer = setInterval(
+            () => deployment.daemons.forEach(daemon => daemon.endAboveLimit()),
+            MEMORY_CHECK_MS,
+        );
         for (const signal of ["SIGINT", "SIGTERM"]) {
             process.once(signal, () => process.exit(2));
         }
@@ -181,6 +186,7 @@
 
     async close() {
         this.isClosing = true;
+        clearInterval(this.memoryTimer);
         this.servers.forEach(server => server.stop());
         await Promise.all(this.daemons.map(daemon => daemon.kill()));
         this.lock.close();
@@ -276,8 +282,23 @@
         await ended;
     }
 
+    /** The platform kills a process that uses more than its memory; it counts as ending by itself. */
+    endAboveLimit() {
+        const { MemoryMb: limitMb } = this.settings.Limits;
+        if (this.rssMb > limitMb) {
+            this.deployment.record(`${this.name}: uses ${Math.round(this.rssMb)} MB of ${limitMb}`);
+            this.child?.kill("SIGKILL");
+        }
+    }
+
     get rssMb() {
-        const text = this.child === undefined ? "" : readFileSync(`/proc/${this.child.pid}/status`, "utf8");
+        let text = "";
+        try {
+            text = this.child === undefined ? "" : readFileSync(`/proc/${this.child.pid}/status`, "utf8");
+        }
+        catch {
+            // It has ended just now.
+        }
         return Number(/VmRSS:\s+(\d+)/.exec(text)?.[1] ?? 0) / 1024;
     }
 
