Count a control member's silence from when the leader sends to it

Cause: a member that had just been added had no answer yet, and counted as silent since the leader's election. While a second process asked to join, the leader removed the new member at its next tick, which closed the link to it, and added it again, seven times a second. Each loss meanwhile left one member less.

Fix: MemberSilence counts from when this leader began to send to a member at the earliest. It counts on while the lease lapses, which made it start anew before, and starts anew when the leader itself was suspended.

--- a/packages/control/src/membership.feature
+++ b/packages/control/src/membership.feature
@@ -42,6 +42,23 @@
             | "a:1,b:1,c:1"   | 3      | "remove b:1" |
             | "a:1,b:1,c:1"   | 1      | ""           |
 
+    # Guards against the removal of a member that has just been added, or of all members after a suspension of the leader.
+    Scenario: Silence counts from when the leader began to send, and not while it was suspended
+        Given a leader that has sent to "b:1,c:1" for 60 s
+        When it sends to "b:1,c:1,d:1" for 1 s
+        Then "d:1", which has never answered, has been silent for 1 s
+        And "b:1", which last answered 3 s ago, has been silent for 3 s
+        When it is suspended for 5 s
+        And it sends to "b:1,c:1,d:1" for 1 s
+        Then "b:1", which last answered 9 s ago, has been silent for 1 s
+        When it sends to "b:1,d:1" for 1 s
+        And it sends to "b:1,c:1,d:1" for 1 s
+        Then "c:1", which has never answered, has been silent for 1 s
+        And "d:1", which has never answered, has been silent for 3 s
+        When it is replaced, and leads again after 1 s
+        And it sends to "b:1,c:1,d:1" for 2 s
+        Then "b:1", which last answered 9 s ago, has been silent for 2 s
+
     Scenario: The group keeps the size at which it was founded
         Given the seeds "10.0.0.1:70,10.0.0.2:70,10.0.0.3:70" and a target of 1
         Then the group has 3 members
--- a/packages/control/src/membership.steps.ts
+++ b/packages/control/src/membership.steps.ts
@@ -4,9 +4,11 @@
 import { deepStrictEqual, match, strictEqual } from "node:assert";
 import type { FoundingSettings } from "./controlSettings.js";
 import { type MemberIdentity, readFoundingIdentity } from "./memberIdentity.js";
+import { MemberSilence } from "./memberSilence.js";
 import { computeGroupSize, type MemberChange, planMembership } from "./planMembership.js";
 
 const UNRESPONSIVE_MS = 10_000;
+const TICK_MS = 100;
 
 let disk: MemoryDisk;
 let listen: string;
@@ -14,6 +16,8 @@
 let identity: MemberIdentity;
 let change: MemberChange | undefined;
 let settled = false;
+let silence: MemberSilence;
+let now = 0;
 
 Given(
     "an empty disk at {string}, a {word} start and the seeds {string}",
@@ -87,6 +91,42 @@
     strictEqual(change === undefined ? "" : `${change.kind} ${change.member}`, expected);
 });
 
+/** Lets time pass for a leader that sends to some processes. */
+function sendFor(receivers: string, seconds: number): void {
+    for (const endsAt = now + seconds * 1000; now < endsAt;) {
+        now += TICK_MS;
+        silence.update(now, receivers.split(","));
+    }
+}
+
+Given("a leader that has sent to {string} for {int} s", (receivers: string, seconds: number) => {
+    now = 0;
+    silence = new MemberSilence();
+    sendFor(receivers, seconds);
+});
+
+When("it sends to {string} for {int} s", (receivers: string, seconds: number) => sendFor(receivers, seconds));
+
+When("it is suspended for {int} s", (seconds: number) => {
+    now += seconds * 1000;
+});
+
+When("it is replaced, and leads again after {int} s", (seconds: number) => {
+    silence.clear();
+    now += seconds * 1000;
+});
+
+Then(
+    "{string}, which last answered {int} s ago, has been silent for {int} s",
+    (process: string, answeredS: number, silentS: number) => {
+        strictEqual(Math.round(silence.compute(now, process, now - answeredS * 1000) / 1000), silentS);
+    },
+);
+
+Then("{string}, which has never answered, has been silent for {int} s", (process: string, silentS: number) => {
+    strictEqual(Math.round(silence.compute(now, process, undefined) / 1000), silentS);
+});
+
 Given("the seeds {string} and a target of {int}", (seeds: string, targetMembers: number) => {
     founding = { seeds: seeds.split(","), isFirstStart: true, targetMembers };
 });
--- a/packages/control/src/membershipTask.ts
+++ b/packages/control/src/membershipTask.ts
@@ -1,8 +1,9 @@
-import type { ConsensusRuntime } from "@kumquathall/consensus";
+import { type ConsensusRuntime, Role } from "@kumquathall/consensus";
 import { describeError } from "@kumquathall/errors";
 import type { Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
 import type { Command, CommandResult } from "@kumquathall/types";
+import { MemberSilence } from "./memberSilence.js";
 import { planMembership } from "./planMembership.js";
 
 export interface MembershipTaskOptions {
@@ -30,7 +31,7 @@
     private readonly joiners = new Map<string, number>();
     private lastAskedAt = Number.NEGATIVE_INFINITY;
     private changingSince: number | undefined;
-    private leaderSince: number | undefined;
+    private readonly silence = new MemberSilence();
     private lastMembers = "";
     private leaderKnownAt = performance.now();
     private readonly timer: NodeJS.Timeout;
@@ -62,12 +63,14 @@
         if (!members.includes(id) || now - this.leaderKnownAt > LEADERLESS_MS) {
             this.askToJoin(now);
         }
-        if (!runtime.canServe()) {
-            this.leaderSince = undefined;
+        if (runtime.getState().role !== Role.Leader) {
+            this.silence.clear();
             return;
         }
-        this.leaderSince ??= now;
-        this.decideChange(now, members);
+        this.silence.update(now, members);
+        if (runtime.canServe()) {
+            this.decideChange(now, members);
+        }
     }
 
     private askToJoin(now: number): void {
@@ -92,12 +95,11 @@
         }
         const { runtime } = this.options;
         const state = runtime.getState();
-        const leaderSince = this.leaderSince ?? now;
         const change = planMembership({
             members,
             self: this.options.id,
             joiners: [...this.joiners.keys()],
-            getAnswerAgeMs: member => now - Math.max(state.peers[member]?.answeredSentAt ?? 0, leaderSince),
+            getAnswerAgeMs: member => this.silence.compute(now, member, state.peers[member]?.answeredSentAt),
             targetMembers: this.options.targetMembers,
         });
         if (change === undefined) {
--- a/packages/matrix/src/controlNetwork.ts
+++ b/packages/matrix/src/controlNetwork.ts
@@ -13,6 +13,8 @@
     disabledGuard: string | undefined;
     onProcessFailure: (address: string, error: unknown) => void;
     onLine: (line: string) => void;
+    /** Time to set up a link between two members, in milliseconds. */
+    linkSetUpMs: number;
 }
 
 const DELAY_MS = 1;
@@ -48,7 +50,8 @@
     }
 
     addVm(address: string): ControlVm {
-        const { random, targetMembers, snapshotEvery, disabledGuard, onProcessFailure, onLine } = this.options;
+        const { random, targetMembers, snapshotEvery, disabledGuard, onProcessFailure, onLine, linkSetUpMs } =
+            this.options;
         const options: ControlVmOptions = {
             address,
             listSeeds: isFirstStart => this.listSeeds(isFirstStart),
@@ -61,6 +64,7 @@
             call: (from, to, call, timeoutMs) => this.call(from, to, call, timeoutMs),
             onProcessFailure,
             onLine,
+            linkSetUpMs,
         };
         const vm = new ControlVm(options);
         this.vms.set(address, vm);
--- a/packages/matrix/src/controlVm.ts
+++ b/packages/matrix/src/controlVm.ts
@@ -34,6 +34,8 @@
     onProcessFailure: (address: string, error: unknown) => void;
     /** Called for each line that a process logs. */
     onLine: (line: string) => void;
+    /** Time to set up a link to a member, in milliseconds; what is sent meanwhile is lost. */
+    linkSetUpMs: number;
 }
 
 type MemberLink = Pick<Link, "call" | "peer">;
@@ -99,6 +101,8 @@
     readonly stateMachine = new ControlStateMachine();
     /** Addresses at which other members are expected. */
     private readonly addresses = new Set<string>();
+    /** When the link to each member is up. */
+    private readonly linkedAt = new Map<string, number>();
     private membershipTask: MembershipTask | undefined;
     private leaderCaller: LeaderCaller | undefined;
     private publisher: TrafficPublisher | undefined;
@@ -180,7 +184,7 @@
             store,
             recovered,
             stateMachine: this.stateMachine,
-            transport: { send: (to, message) => vm.options.send(this, to, message) },
+            transport: { send: (to, message) => this.sendToMember(to, message) },
             logger,
             random,
             timing: { ...DEFAULT_CONSENSUS_OPTIONS, disabledGuard: vm.options.disabledGuard },
@@ -195,7 +199,7 @@
             listLinks: () => this.listLinks(),
             targetMembers,
             logger,
-            onMembersChange: members => members.forEach(member => this.addresses.add(getMemberAddress(member))),
+            onMembersChange: members => this.updateLinks(members),
         });
         this.leaderCaller = new LeaderCaller({
             id: identity.id,
@@ -213,6 +217,25 @@
         this.timer = setInterval(() => this.refreshAddresses(), DISCOVERY_MS);
     }
 
+    /** Links are set up when something is sent, as the product's are. */
+    private sendToMember(to: string, message: ConsensusMessage<Command>): void {
+        const { linkSetUpMs, send } = this.vm.options;
+        const linkedAt = this.linkedAt.get(to) ?? performance.now() + linkSetUpMs;
+        this.linkedAt.set(to, linkedAt);
+        if (performance.now() >= linkedAt) {
+            send(this, to, message);
+        }
+    }
+
+    private updateLinks(members: readonly string[]): void {
+        members.forEach(member => this.addresses.add(getMemberAddress(member)));
+        for (const known of this.linkedAt.keys()) {
+            if (!members.includes(known)) {
+                this.linkedAt.delete(known);
+            }
+        }
+    }
+
     private async propose(
         runtime: ConsensusRuntime<Command, CommandResult>,
         command: Command,
--- a/packages/matrix/src/durability.feature
+++ b/packages/matrix/src/durability.feature
@@ -19,6 +19,19 @@
             | 3   |
             | 5   |
 
+    # Guards against losses that are not replaced before the next one, until too few members are left to elect a leader: a
+    # process that had just joined was removed before its first answer and added again, without end.
+    Scenario Outline: Losses that follow each other are each replaced, with <vms> control VMs of which five are members
+        When operators publish to <vms> control VMs for 40 s amid "losses in turn", with links that take <link> ms to set up and seeds 1 to <seeds>
+        Then nothing acknowledged is lost or shown in an older state, and no process ends for another reason than its disk
+        And members change at most once for each disk that is lost and once for each that takes its place
+
+        Examples:
+            | vms | link | seeds |
+            | 8   | 150  | 6     |
+            | 8   | 400  | 4     |
+            | 5   | 150  | 4     |
+
     Scenario Outline: The simulation detects that the guard <guard> is disabled
         When operators publish to 5 control VMs for 8 s amid "<disruptions>", with seeds 1 to 5, without "<guard>"
         Then something acknowledged is lost or shown in an older state
--- a/packages/matrix/src/durability.steps.ts
+++ b/packages/matrix/src/durability.steps.ts
@@ -9,6 +9,8 @@
 let violations: string[] = [];
 let acknowledged: number[] = [];
 let pausesMs: number[] = [];
+/** For each seed, the losses before the final fault and the changes of members. */
+let changes: { losses: number; memberChanges: number }[] = [];
 
 async function runSeeds(
     vms: number,
@@ -20,11 +22,13 @@
     violations = [];
     acknowledged = [];
     pausesMs = [];
+    changes = [];
     for (let seed = first; seed <= last; seed++) {
         const result = await DurabilitySimulation.run({ seed, vms, durationMs: seconds * 1000, ...options });
         violations.push(...result.violations.map(text => `seed ${seed}: ${text}`));
         acknowledged.push(result.acknowledged);
         pausesMs.push(result.longestPauseMs);
+        changes.push({ losses: result.disruptions.length, memberChanges: result.memberChanges });
     }
 }
 
@@ -56,6 +60,19 @@
     },
 );
 
+When(
+    "operators publish to {int} control VMs for {int} s amid {string}, with links that take {int} ms to set up and seeds {int} to {int}",
+    TIMEOUT,
+    (vms: number, seconds: number, kind: string, linkSetUpMs: number, first: number, last: number) =>
+        runSeeds(vms, seconds, first, last, { kinds: [kind], linkSetUpMs }),
+);
+
+Then("members change at most once for each disk that is lost and once for each that takes its place", () => {
+    // The final fault takes two disks, and counts as one disruption.
+    const excess = changes.filter(({ losses, memberChanges }) => memberChanges > 2 * (losses + 1));
+    deepStrictEqual(excess, []);
+});
+
 Then("no more than {int} ms pass without an acknowledgement", (most: number) => {
     ok(pausesMs.every(ms => ms <= most), `longest pauses: ${pausesMs.map(Math.round).join()} ms`);
 });
--- a/packages/matrix/src/durabilityFaults.ts
+++ b/packages/matrix/src/durabilityFaults.ts
@@ -31,6 +31,12 @@
 /** Failure of a disk after which a process may end. */
 export const DISK_BROKEN: DiskFailure = { message: "input/output error", code: "EIO" };
 
+/** Losses that a group of five bears at once. */
+const MAX_LOST = 2;
+/** Longer than the time after which a silent member is replaced, in milliseconds. */
+const DARK_MS = 3500;
+const WIPED_MS = 1500;
+
 type Builder = (simulation: FaultTarget) => Disruption | undefined;
 
 const DISRUPTIONS: Record<string, Builder> = {
@@ -63,6 +69,7 @@
         simulation.network.listVms().some(vm => vm.disk.failure !== undefined)
             ? undefined
             : buildDiskFailure(simulation, DISK_FULL),
+    "losses in turn": buildLossInTurn,
 };
 
 /** Chooses a disruption by the simulation's random source; `undefined` if the chosen one is not possible now. */
@@ -134,6 +141,27 @@
     return { name: formatNames(lost), lastsMs: 3000, begin };
 }
 
+/** Darkens a VM for longer than a member may be silent, or replaces its disk, once earlier losses have been made up for. */
+function buildLossInTurn(simulation: FaultTarget): Disruption | undefined {
+    const [vm] = listUp(simulation);
+    if (simulation.countSpareDisks() < MAX_LOST) {
+        return undefined;
+    }
+    const isDark = simulation.random() < 0.4;
+    const downMs = isDark ? DARK_MS : WIPED_MS;
+    const begin = () => {
+        if (isDark) {
+            simulation.recordDiskLost(vm, downMs);
+            vm.crash();
+            simulation.startLater(vm, downMs);
+        }
+        else {
+            simulation.replaceDisk(vm, downMs);
+        }
+    };
+    return { name: `${isDark ? "dark" : "disk"} ${formatNames([vm])}`, lastsMs: downMs, begin };
+}
+
 /** Removes a VM for good; one at another address, with an empty disk, takes its place. */
 function buildReplacement(simulation: FaultTarget): Disruption | undefined {
     const vm = simulation.pick(listUp(simulation));
--- a/packages/matrix/src/durabilitySimulation.ts
+++ b/packages/matrix/src/durabilitySimulation.ts
@@ -17,6 +17,8 @@
     /** Guard of the product to disable, to test that the simulation detects the fault. */
     disabledGuard?: string;
     onLine?: (line: string) => void;
+    /** Time to set up a link between two members, in milliseconds; none by default. */
+    linkSetUpMs?: number;
 }
 
 export interface DurabilityResult {
@@ -27,6 +29,8 @@
     longestPauseMs: number;
     reads: number;
     disruptions: string[];
+    /** Number of changes of members that leaders have proposed after the founding. */
+    memberChanges: number;
 }
 
 const SEEDS = 3;
@@ -53,6 +57,7 @@
         longestPauseMs: 0,
         reads: 0,
         disruptions: [],
+        memberChanges: 0,
     };
     /** Documents that were sent, by version. */
     private readonly sent = new Map<number, Set<string>>();
@@ -93,7 +98,8 @@
                     this.fail(`the process at ${address} has ended: ${String(error)}`);
                 }
             },
-            onLine: line => options.onLine?.(`${performance.now().toFixed(0)} ${line}`),
+            onLine: line => this.recordLine(line),
+            linkSetUpMs: options.linkSetUpMs ?? 0,
         });
     }
 
@@ -163,6 +169,13 @@
         await this.executeFinalFault();
     }
 
+    private recordLine(line: string): void {
+        if (performance.now() > FOUNDING_MS && line.includes("event=control-member-change ")) {
+            this.result.memberChanges++;
+        }
+        this.options.onLine?.(`${performance.now().toFixed(0)} ${line}`);
+    }
+
     private recordPause(): void {
         if (this.acknowledgedAt !== undefined) {
             const now = performance.now();
