Look at all joiners for proof that a member's disk is lost

Cause: only the first joiner was considered. A process that always asked first hid the one at a member's address, which proves that the member's disk is lost.

Fix: any joiner at a member's address counts; the member is removed before a silent one, since it can never answer again.

Evidence: membership.feature, 'A joiner proves that the disk of a member is lost, whatever else asks to join': both examples fail before (no change; the silent member was removed instead).

--- a/packages/control/src/membership.feature
+++ b/packages/control/src/membership.feature
@@ -31,6 +31,16 @@
             | "a:1,c:1,d:1,e:1"         | ""           | "b:1#x" | "add b:1#x"     |
             | "a:1,b:1,c:1"             | ""           | "b:1"  | ""               |
 
+    # Guards against a lost disk that is never made up for, because another process always asks to join first.
+    Scenario Outline: A joiner proves that the disk of a member is lost, whatever else asks to join
+        Given the members "a:1,b:1,c:1,d:1,e:1", of which <unresponsive> does not answer, a target of 5 and the joiner <joiners>
+        Then the next change is "remove b:1"
+
+        Examples:
+            | unresponsive | joiners         |
+            | ""           | "f:1,b:1#x"     |
+            | "c:1"        | "f:1,g:1,b:1#x" |
+
     # Guards against a group that gets smaller with each loss: where the target was below the number of founders, a member
     # was removed for a joiner that was then never added.
     Scenario Outline: A member is removed only if a joiner takes its place
--- a/packages/control/src/membership.steps.ts
+++ b/packages/control/src/membership.steps.ts
@@ -80,7 +80,7 @@
         change = planMembership({
             members: members.split(","),
             self: "a:1",
-            joiners: [joiner],
+            joiners: joiner.split(","),
             getAnswerAgeMs: member => member === unresponsive ? UNRESPONSIVE_MS : 0,
             targetMembers,
         });
--- a/packages/control/src/planMembership.ts
+++ b/packages/control/src/planMembership.ts
@@ -29,16 +29,17 @@
  * answering. Above it, none is removed for a joiner, since none would be added.
  */
 export function planMembership(input: MembershipInput): MemberChange | undefined {
-    const joiner = input.joiners.find(candidate => !input.members.includes(candidate));
-    if (joiner === undefined) {
-        return undefined;
-    }
+    const joiners = input.joiners.filter(candidate => !input.members.includes(candidate));
     const former = input.members.find(member =>
-        member !== input.self && getMemberAddress(member) === getMemberAddress(joiner)
+        member !== input.self && joiners.some(joiner => getMemberAddress(joiner) === getMemberAddress(member))
     );
     if (former !== undefined) {
         return buildRemoval(input, former);
     }
+    const [joiner] = joiners;
+    if (joiner === undefined) {
+        return undefined;
+    }
     if (input.members.length < input.targetMembers) {
         return { kind: "add", member: joiner, members: [...input.members, joiner] };
     }
