Add control members only once they hold a copy

Cause: a process became a member as soon as it asked, with nothing on its disk, and a silent member, which might have been back with its disk, was removed for any process that asked. A slow one took the place of a member, was removed after 2.5 s, and was the first to be added again.

Fix: a process that asks to join is a learner first. The leader sends it the log while a member is lost or lacking, three at a time; a learner neither votes nor counts for a majority or a lease. It is added once its disk holds all that is committed and it answers, and a silent member is removed only once such a learner is there. A member whose disk is proven lost is removed at once, as before. The links to learners stay open while members change; before, each removal closed the link to the next member. A process that is no member forgets a leader that sends to it no longer. Whether a change is under way is read from the log, in place of a timer that a late answer could clear.

--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -42,10 +42,24 @@
 
 /** Members whose disks hold the log up to an index, as far as this member knows. Only the leader knows of others. */
 export function listHolders(state: ConsensusState<unknown>, index: number): string[] {
-    return getMembers(state).filter(member => {
-        const held = member === state.id ? state.durableIndex : state.peers[member]?.matchIndex ?? 0;
-        return held >= index;
-    });
+    return getMembers(state).filter(member => isHolder(state, member, index));
+}
+
+/** Whether the disk of a member or learner holds all that is committed, as far as this leader knows. */
+export function hasCopy(state: ConsensusState<unknown>, process: string): boolean {
+    return isHolder(state, process, state.commitIndex);
+}
+
+function isHolder(state: ConsensusState<unknown>, process: string, index: number): boolean {
+    const held = process === state.id ? state.durableIndex : state.peers[process]?.matchIndex ?? 0;
+    return held >= index;
+}
+
+/** Whether the log holds a change of members that is not committed, as far as this member knows. */
+export function isChangingMembers(state: ConsensusState<unknown>): boolean {
+    return getEntries(state, state.commitIndex + 1, getLastIndex(state)).some(entry =>
+        entry.payload.kind === "members"
+    );
 }
 
 /** Number of members that form a majority. */
--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -3,7 +3,16 @@
 import type { HardState, LogEntry, LogPayload, Snapshot } from "@kumquathall/types";
 import { ConsensusError } from "./errors.js";
 import { canServeRead } from "./lease.js";
-import { getEntries, getLastIndex, getMembers, getMembersAt, getTermAt, listHolders } from "./log.js";
+import {
+    getEntries,
+    getLastIndex,
+    getMembers,
+    getMembersAt,
+    getTermAt,
+    hasCopy,
+    isChangingMembers,
+    listHolders,
+} from "./log.js";
 import { PayloadSizes } from "./payloadSizes.js";
 import { ProposalWaiters, type Waiter } from "./proposalWaiters.js";
 import {
@@ -135,6 +144,16 @@
         return listHolders(this.state, index);
     }
 
+    /** Whether the disk of a member or learner holds all that is committed, as far as this leader knows. */
+    hasCopy(process: string): boolean {
+        return hasCopy(this.state, process);
+    }
+
+    /** Whether the log holds a change of members that is not committed, as far as this member knows. */
+    isChangingMembers(): boolean {
+        return isChangingMembers(this.state);
+    }
+
     /** Whether this member may serve reads and issue orders: it holds the lease and has applied all commits. */
     canServe(): boolean {
         this.checkSuspension();
@@ -167,6 +186,11 @@
         });
     }
 
+    /** While this member leads, it sends the log to these processes beside its members; another leader starts with none. */
+    setLearners(learners: readonly string[]): void {
+        this.handle({ kind: "learners", now: performance.now(), learners });
+    }
+
     /** Stops the timer, rejects proposals that are not applied yet, and closes the log store. */
     async close(): Promise<void> {
         this.isClosed = true;
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -33,7 +33,7 @@
     maxBytesPerAppend: 1024 * 1024,
 };
 
-/** Replication progress of one other member, as tracked by the leader. */
+/** Replication progress of one other member or learner, as tracked by the leader. */
 export interface PeerProgress {
     nextIndex: number;
     matchIndex: number;
@@ -56,6 +56,8 @@
     /** Entries after the snapshot. */
     entries: readonly LogEntry<Payload>[];
     commitIndex: number;
+    /** On a leader: processes that are no members and receive the log; they neither vote nor count as copies. */
+    learners: readonly string[];
     /** Highest index synced on this member's own disk. */
     durableIndex: number;
     electionDeadline: number;
@@ -98,6 +100,8 @@
     | { kind: "tick"; now: number; random: number }
     | { kind: "receive"; now: number; random: number; from: string; message: ConsensusMessage<Payload> }
     | { kind: "propose"; now: number; payload: LogPayload<Payload> }
+    /** The leader sends the log to these processes beside its members, in place of those named before. */
+    | { kind: "learners"; now: number; learners: readonly string[] }
     /** The log is synced on this member's disk up to the entry with this index and term. */
     | { kind: "persisted"; now: number; index: number; term: number }
     /** The monotonic clock may have stood still, so that no lease that began earlier can be relied on. */
--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -1,6 +1,15 @@
 import type { HardState, LogEntry, LogPayload } from "@kumquathall/types";
 import { computeMajorityContact, hasCommittedInTerm } from "./lease.js";
-import { countMajority, getEntries, getLastIndex, getLastTerm, getMembers, getMembersAt, getTermAt } from "./log.js";
+import {
+    countMajority,
+    getEntries,
+    getLastIndex,
+    getLastTerm,
+    getMembers,
+    getMembersAt,
+    getTermAt,
+    isChangingMembers,
+} from "./log.js";
 import {
     type ConsensusEffect,
     type ConsensusEvent,
@@ -45,6 +54,7 @@
         snapshotMembers: options.members,
         entries,
         commitIndex: snapshotIndex,
+        learners: [],
         durableIndex: snapshotIndex + entries.length,
         electionDeadline: options.now + options.timing.electionTimeoutMs * (1 + options.random),
         noVoteUntil: isRestart && isGuarded ? options.now + options.timing.electionTimeoutMs : options.now,
@@ -86,6 +96,9 @@
         case "propose":
             step.handleProposal(event.now, event.payload);
             break;
+        case "learners":
+            step.setLearners(event.now, event.learners);
+            break;
         case "persisted":
             step.handlePersisted(event.index, event.term);
             break;
@@ -119,9 +132,16 @@
             }
             return;
         }
-        if (now >= this.state.electionDeadline && getMembers(this.state).includes(this.state.id)) {
+        if (now < this.state.electionDeadline) {
+            return;
+        }
+        if (getMembers(this.state).includes(this.state.id)) {
             this.startPreVote(now, random);
         }
+        else if (this.state.leaderId !== undefined) {
+            // A learner, or a member that was removed: the leader sends to it no longer, and may be another by now.
+            this.update({ leaderId: undefined });
+        }
     }
 
     handleMessage(now: number, random: number, from: string, message: ConsensusMessage<Payload>): void {
@@ -172,6 +192,23 @@
         this.effects.push({ kind: "persist", hardState: undefined, entries: [entry] });
     }
 
+    /** Progress that a process made before it became a learner is forgotten: only new answers prove what it holds. */
+    setLearners(now: number, learners: readonly string[]): void {
+        if (this.state.role !== Role.Leader) {
+            return;
+        }
+        const members = getMembers(this.state);
+        const next = learners.filter(learner => !members.includes(learner));
+        const added = next.filter(learner => !this.state.learners.includes(learner));
+        if (added.length === 0 && next.length === this.state.learners.length) {
+            return;
+        }
+        const kept = [...members, ...next].filter(receiver => !added.includes(receiver));
+        const peers = Object.fromEntries(Object.entries(this.state.peers).filter(([peer]) => kept.includes(peer)));
+        this.update({ learners: next, peers });
+        added.forEach(learner => this.sendAppend(now, learner));
+    }
+
     handlePersisted(index: number, term: number): void {
         // The written entry may have been replaced since; the write does not make its replacement durable.
         if (getTermAt(this.state, index) !== term) {
@@ -217,6 +254,13 @@
         return getMembers(this.state).filter(member => member !== this.state.id);
     }
 
+    /** The processes to which a leader sends the log: the other members and the learners. */
+    private listReceivers(): string[] {
+        const others = this.getOthers();
+        const learners = this.state.learners.filter(learner => learner !== this.state.id && !others.includes(learner));
+        return [...others, ...learners];
+    }
+
     private setHardState(term: number, votedFor: string | undefined): void {
         this.update({ hardState: { term, votedFor } });
         this.effects.push({ kind: "persist", hardState: this.state.hardState, entries: [] });
@@ -238,7 +282,7 @@
             this.setHardState(term, undefined);
         }
         this.setRole(Role.Follower);
-        this.update({ leaderId, votes: [], peers: {} });
+        this.update({ leaderId, votes: [], peers: {}, learners: [] });
         this.resetElectionDeadline(now, random);
     }
 
@@ -382,8 +426,8 @@
     }
 
     private sendAppends(now: number): void {
-        for (const member of this.getOthers()) {
-            this.sendAppend(now, member);
+        for (const receiver of this.listReceivers()) {
+            this.sendAppend(now, receiver);
         }
         this.update({ heartbeatDue: now + this.options.heartbeatMs });
     }
@@ -505,7 +549,8 @@
     }
 
     private handleAppendAnswer(now: number, from: string, message: AppendAnswer<Payload>): void {
-        if (this.state.role !== Role.Leader || message.term !== this.state.hardState.term) {
+        const isExpected = this.state.role === Role.Leader && message.term === this.state.hardState.term;
+        if (!isExpected || !this.listReceivers().includes(from)) {
             return;
         }
         const progress = this.getProgress(from);
@@ -525,7 +570,7 @@
         const nextIndex = Math.max(progress.nextIndex, matchIndex + 1);
         this.setProgress(from, { nextIndex, matchIndex, answeredSentAt, snapshotSentAt: undefined });
         this.advanceCommit();
-        if (nextIndex <= getLastIndex(this.state) && getMembers(this.state).includes(from)) {
+        if (nextIndex <= getLastIndex(this.state)) {
             this.sendAppend(now, from);
         }
     }
@@ -586,8 +631,7 @@
             ...next.filter(member => !current.includes(member)),
         ];
         const isSettled = !this.isGuardEnabled("oneMemberChange")
-            || !getEntries(this.state, this.state.commitIndex + 1, getLastIndex(this.state))
-                .some(entry => entry.payload.kind === "members");
+            || !isChangingMembers(this.state);
         return changed.length === 1 && isSettled && hasCommittedInTerm(this.state);
     }
 }
--- a/packages/control/src/controlDiscovery.ts
+++ b/packages/control/src/controlDiscovery.ts
@@ -24,8 +24,8 @@
     /** Called for the links that this process opens to other control processes. */
     handlers: LinkHandlers;
     logger: Logger;
-    /** Called when the members change, with their ids. */
-    onMembersChange: (members: readonly string[]) => void;
+    /** Called when the members, or the learners of this leader, change, with their ids. */
+    onPeersChange: (peers: readonly string[]) => void;
 }
 
 /** Time for a member to answer before another is called, in milliseconds: callers wait a second for three of these. */
@@ -62,7 +62,7 @@
             listLinks: () => directory.listLinks(),
             targetMembers: computeGroupSize(founding),
             logger,
-            onMembersChange: options.onMembersChange,
+            onPeersChange: options.onPeersChange,
         });
         this.saveTimer = setInterval(() => {
             contacts.recordMembers(directory.listMembers());
--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -286,7 +286,7 @@
                     onFault: createLinkFaultHandler(this.faults),
                 },
                 logger: context.logger,
-                onMembersChange: members => this.updateDialers(members),
+                onPeersChange: peers => this.updateDialers(peers),
             });
         }
         this.openTasks(recovered.hardState.term);
@@ -376,14 +376,14 @@
         return dialer;
     }
 
-    private updateDialers(members: readonly string[]): void {
-        for (const [member, dialer] of this.dialers) {
-            if (!members.includes(member)) {
+    private updateDialers(peers: readonly string[]): void {
+        for (const [peer, dialer] of this.dialers) {
+            if (!peers.includes(peer)) {
                 dialer.close();
-                this.dialers.delete(member);
+                this.dialers.delete(peer);
             }
         }
-        members.forEach(member => this.dialMember(member));
+        peers.forEach(peer => this.dialMember(peer));
     }
 
     /** Tells a newly linked member of traffic and of all endpoints: it may have restarted, and lead before others link. */
--- a/packages/control/src/memberSilence.ts
+++ b/packages/control/src/memberSilence.ts
@@ -2,7 +2,7 @@
 const MAX_UPDATE_GAP_MS = 1000;
 
 /**
- * Measures on the leader for how long the other members have not answered. Silence counts only from when this leader
+ * Measures on the leader for how long the members and learners have not answered. Silence counts only from when this leader
  * began to send to a process: before, there was nothing to answer. While the leader itself is suspended, none counts.
  */
 export class MemberSilence {
--- a/packages/control/src/membership.feature
+++ b/packages/control/src/membership.feature
@@ -52,6 +52,27 @@
             | "a:1,b:1,c:1"   | 3      | "remove b:1" |
             | "a:1,b:1,c:1"   | 1      | ""           |
 
+    # Guards against members that hold no copy: a member that might have been back with its disk was removed for any process that
+    # asked to join, and that process was added before it held anything.
+    Scenario Outline: A joiner takes a member's place once it holds a copy, whatever else asks to join
+        Given the members <members>, of which <silent> does not answer, a target of 5 and the joiners <joiners>, of which <copies> hold a copy
+        Then the next change is <change>
+        And the log is sent to the joiners <learners>
+
+        Examples:
+            | members               | silent    | joiners             | copies | change       | learners        |
+            | "a:1,b:1,c:1,d:1,e:1" | ""        | "f:1,g:1"           | "f:1"  | ""           | ""              |
+            | "a:1,b:1,c:1,d:1,e:1" | "b:1"     | "f:1,g:1"           | ""     | ""           | "f:1,g:1"       |
+            | "a:1,b:1,c:1,d:1,e:1" | "b:1"     | "f:1,g:1"           | "g:1"  | "remove b:1" | "f:1,g:1"       |
+            | "a:1,b:1,c:1,d:1,e:1" | "b:1,d:1" | "f:1"               | "f:1"  | "remove d:1" | "f:1"           |
+            | "a:1,b:1,c:1,d:1,e:1" | "b:1"     | "f:1,g:1,h:1,i:1"   | ""     | ""           | "f:1,g:1,h:1"   |
+            | "a:1,c:1,d:1,e:1"     | ""        | "f:1,g:1"           | ""     | ""           | "f:1,g:1"       |
+            | "a:1,c:1,d:1,e:1"     | ""        | "f:1,g:1"           | "g:1"  | "add g:1"    | "f:1,g:1"       |
+            | "a:1,c:1,d:1,e:1"     | "d:1"     | "f:1"               | "f:1"  | "add f:1"    | "f:1"           |
+            | "a:1,c:1,d:1,e:1"     | "f:1"     | "f:1,g:1"           | "f:1"  | ""           | "f:1,g:1"       |
+            | "a:1,b:1,c:1,d:1,e:1" | ""        | "f:1,b:1#x"         | ""     | "remove b:1" | "f:1,b:1#x"     |
+            | "a:1,b:1,c:1,d:1,e:1" | "c:1"     | "f:1,b:1#x"         | "f:1"  | "remove b:1" | "f:1,b:1#x"     |
+
     # Guards against the removal of a member that has just been added, or of all members after a suspension of the leader.
     Scenario: Silence counts from when the leader began to send, and not while it was suspended
         Given a leader that has sent to "b:1,c:1" for 60 s
@@ -69,6 +90,16 @@
         And it sends to "b:1,c:1,d:1" for 2 s
         Then "b:1", which last answered 9 s ago, has been silent for 2 s
 
+    # Guards against joiners that are slow and keep others from being tried.
+    Scenario: Joiners that are slow go last, and a process that has ended asks no longer
+        Given the joiners "f:1,g:1,h:1,i:1", which ask again and again
+        When "f:1,g:1,h:1" have been learners for 2 s
+        Then the joiners are tried in the order "f:1,g:1,h:1,i:1"
+        When "f:1,g:1,h:1" have been learners for 2 s
+        Then the joiners are tried in the order "i:1,f:1,g:1,h:1"
+        When no joiner has asked for 2 s
+        Then the joiners are tried in the order ""
+
     Scenario: The group keeps the size at which it was founded
         Given the seeds "10.0.0.1:70,10.0.0.2:70,10.0.0.3:70" and a target of 1
         Then the group has 3 members
--- a/packages/control/src/membership.steps.ts
+++ b/packages/control/src/membership.steps.ts
@@ -3,9 +3,10 @@
 import { MemoryDisk } from "@kumquathall/storage";
 import { deepStrictEqual, match, strictEqual } from "node:assert";
 import type { FoundingSettings } from "./controlSettings.js";
+import { JoinerQueue } from "./joinerQueue.js";
 import { type MemberIdentity, readFoundingIdentity } from "./memberIdentity.js";
 import { MemberSilence } from "./memberSilence.js";
-import { computeGroupSize, type MemberChange, planMembership } from "./planMembership.js";
+import { computeGroupSize, type MembershipPlan, planMembership } from "./planMembership.js";
 
 const UNRESPONSIVE_MS = 10_000;
 const TICK_MS = 100;
@@ -14,9 +15,10 @@
 let listen: string;
 let founding: FoundingSettings;
 let identity: MemberIdentity;
-let change: MemberChange | undefined;
+let plan: MembershipPlan;
 let settled = false;
 let silence: MemberSilence;
+let joiners: JoinerQueue;
 let now = 0;
 
 Given(
@@ -76,21 +78,40 @@
 
 Given(
     "the members {string}, of which {string} does not answer, a target of {int} and the joiner {string}",
-    (members: string, unresponsive: string, targetMembers: number, joiner: string) => {
-        change = planMembership({
-            members: members.split(","),
-            self: "a:1",
-            joiners: joiner.split(","),
-            getAnswerAgeMs: member => member === unresponsive ? UNRESPONSIVE_MS : 0,
-            targetMembers,
-        });
-    },
+    (members: string, unresponsive: string, targetMembers: number, joiner: string) =>
+        planChange({ members, unresponsive, targetMembers, joiners: joiner, copies: joiner }),
+);
+
+Given(
+    "the members {string}, of which {string} does not answer, a target of 5 and the joiners {string}, of which {string} hold a copy",
+    (members: string, unresponsive: string, joiners: string, copies: string) =>
+        planChange({ members, unresponsive, targetMembers: 5, joiners, copies }),
 );
 
+function planChange(group: {
+    members: string;
+    unresponsive: string;
+    targetMembers: number;
+    joiners: string;
+    copies: string;
+}): void {
+    const unresponsive = group.unresponsive.split(",");
+    plan = planMembership({
+        members: group.members.split(","),
+        self: "a:1",
+        joiners: group.joiners.split(","),
+        hasCopy: joiner => group.copies.split(",").includes(joiner),
+        getSilenceMs: process => unresponsive.includes(process) ? UNRESPONSIVE_MS + unresponsive.indexOf(process) : 0,
+        targetMembers: group.targetMembers,
+    });
+}
+
 Then("the next change is {string}", (expected: string) => {
-    strictEqual(change === undefined ? "" : `${change.kind} ${change.member}`, expected);
+    strictEqual(plan.change === undefined ? "" : `${plan.change.kind} ${plan.change.member}`, expected);
 });
 
+Then("the log is sent to the joiners {string}", (expected: string) => strictEqual(plan.learners.join(), expected));
+
 /** Lets time pass for a leader that sends to some processes. */
 function sendFor(receivers: string, seconds: number): void {
     for (const endsAt = now + seconds * 1000; now < endsAt;) {
@@ -127,6 +148,31 @@
     strictEqual(Math.round(silence.compute(now, process, undefined) / 1000), silentS);
 });
 
+Given("the joiners {string}, which ask again and again", (members: string) => {
+    now = 0;
+    joiners = new JoinerQueue();
+    members.split(",").forEach(member => joiners.record(member, now));
+});
+
+When("{string} have been learners for {int} s", (learners: string, seconds: number) => {
+    for (const endsAt = now + seconds * 1000; now < endsAt;) {
+        now += TICK_MS;
+        const listed = joiners.list(now);
+        listed.forEach(member => joiners.record(member, now));
+        joiners.markLearners(learners.split(","), now);
+    }
+});
+
+When("{string} asks to join", (member: string) => joiners.record(member, now));
+
+When("no joiner has asked for {int} s", (seconds: number) => {
+    now += seconds * 1000;
+});
+
+Then("the joiners are tried in the order {string}", (expected: string) => {
+    strictEqual(joiners.list(now).join(), expected);
+});
+
 Given("the seeds {string} and a target of {int}", (seeds: string, targetMembers: number) => {
     founding = { seeds: seeds.split(","), isFirstStart: true, targetMembers };
 });
--- a/packages/control/src/membershipTask.ts
+++ b/packages/control/src/membershipTask.ts
@@ -3,8 +3,9 @@
 import type { Link } from "@kumquathall/link";
 import type { Logger } from "@kumquathall/logger";
 import type { Command, CommandResult } from "@kumquathall/types";
+import { JoinerQueue } from "./joinerQueue.js";
 import { MemberSilence } from "./memberSilence.js";
-import { planMembership } from "./planMembership.js";
+import { type MemberChange, planMembership } from "./planMembership.js";
 
 export interface MembershipTaskOptions {
     id: string;
@@ -13,26 +14,23 @@
     listLinks: () => Pick<Link, "call" | "peer">[];
     targetMembers: number;
     logger: Logger;
-    /** Called when the members change. */
-    onMembersChange: (members: readonly string[]) => void;
+    /** Called when the members, or the learners of this leader, change: the processes that exchange the log with this one. */
+    onPeersChange: (peers: readonly string[]) => void;
 }
 
 const TICK_MS = 100;
-/** A joiner that has not repeated its request for this long is dropped, in milliseconds. */
-const JOINER_TIMEOUT_MS = 1500;
 const JOIN_INTERVAL_MS = 300;
 /** A member without a leader for this long may have been replaced, in milliseconds: a few election timeouts. */
 const LEADERLESS_MS = 2000;
-/** Time in which a change of members must be committed before another is tried, in milliseconds. */
-const CHANGE_TIMEOUT_MS = 2000;
 
 /** Asks to join while this process is not a member, and admits joiners while it leads. */
 export class MembershipTask {
-    private readonly joiners = new Map<string, number>();
-    private lastAskedAt = Number.NEGATIVE_INFINITY;
-    private changingSince: number | undefined;
+    private readonly joiners = new JoinerQueue();
     private readonly silence = new MemberSilence();
+    private lastAskedAt = Number.NEGATIVE_INFINITY;
     private lastMembers = "";
+    private lastLearners = "";
+    private lastPeers = "";
     private leaderKnownAt = performance.now();
     private readonly timer: NodeJS.Timeout;
 
@@ -41,7 +39,7 @@
     }
 
     recordJoiner(member: string): void {
-        this.joiners.set(member, performance.now());
+        this.joiners.record(member, performance.now());
     }
 
     close(): void {
@@ -49,30 +47,44 @@
     }
 
     private decide(now: number): void {
-        const { runtime, id, onMembersChange } = this.options;
+        const { runtime, id } = this.options;
         const members = runtime.getMembers();
-        if (members.join() !== this.lastMembers) {
-            this.lastMembers = members.join();
-            this.options.logger.info("control-members", { members: this.lastMembers });
-            onMembersChange(members);
-        }
-        if (runtime.getState().leaderId !== undefined) {
+        const { leaderId, role, learners } = runtime.getState();
+        this.reportPeers(members, learners);
+        if (leaderId !== undefined) {
             this.leaderKnownAt = now;
         }
         // A member that was removed while it was unreachable is not notified: it asks to join once it has no leader.
         if (!members.includes(id) || now - this.leaderKnownAt > LEADERLESS_MS) {
             this.askToJoin(now);
         }
-        if (runtime.getState().role !== Role.Leader) {
+        if (role !== Role.Leader) {
             this.silence.clear();
             return;
         }
-        this.silence.update(now, members);
+        this.silence.update(now, [...members, ...learners]);
         if (runtime.canServe()) {
             this.decideChange(now, members);
         }
     }
 
+    private reportPeers(members: readonly string[], learners: readonly string[]): void {
+        const { logger, onPeersChange } = this.options;
+        if (members.join() !== this.lastMembers) {
+            this.lastMembers = members.join();
+            logger.info("control-members", { members: this.lastMembers });
+        }
+        if (learners.join() !== this.lastLearners) {
+            this.lastLearners = learners.join();
+            logger.info("control-learners", { learners: this.lastLearners });
+        }
+        const peers = [...new Set([...members, ...learners])];
+        if (peers.join() !== this.lastPeers) {
+            this.lastPeers = peers.join();
+            onPeersChange(peers);
+        }
+    }
+
     private askToJoin(now: number): void {
         if (now - this.lastAskedAt >= JOIN_INTERVAL_MS) {
             this.lastAskedAt = now;
@@ -85,37 +97,32 @@
     }
 
     private decideChange(now: number, members: readonly string[]): void {
-        for (const [joiner, askedAt] of this.joiners) {
-            if (now - askedAt > JOINER_TIMEOUT_MS) {
-                this.joiners.delete(joiner);
-            }
-        }
-        if (this.changingSince !== undefined && now - this.changingSince < CHANGE_TIMEOUT_MS) {
-            return;
-        }
-        const { runtime } = this.options;
-        const state = runtime.getState();
-        const change = planMembership({
+        const { runtime, id, targetMembers } = this.options;
+        const { peers } = runtime.getState();
+        const plan = planMembership({
             members,
-            self: this.options.id,
-            joiners: [...this.joiners.keys()],
-            getAnswerAgeMs: member => this.silence.compute(now, member, state.peers[member]?.answeredSentAt),
-            targetMembers: this.options.targetMembers,
+            self: id,
+            joiners: this.joiners.list(now),
+            hasCopy: joiner => runtime.hasCopy(joiner),
+            getSilenceMs: process => this.silence.compute(now, process, peers[process]?.answeredSentAt),
+            targetMembers,
         });
-        if (change === undefined) {
-            return;
+        this.joiners.markLearners(plan.learners, now);
+        runtime.setLearners(plan.learners);
+        if (plan.change !== undefined && !runtime.isChangingMembers()) {
+            this.propose(plan.change);
         }
-        this.changingSince = now;
-        this.options.logger.info("control-member-change", {
+    }
+
+    private propose(change: MemberChange): void {
+        const { runtime, logger } = this.options;
+        logger.info("control-member-change", {
             change: change.kind,
             member: change.member,
             members: change.members.length,
-            copies: runtime.listHolders(state.commitIndex).filter(member => change.members.includes(member)).length,
+            copies: change.members.filter(member => runtime.hasCopy(member)).length,
         });
         runtime.proposeMembers(change.members)
-            .catch(error => this.options.logger.warn("member-change-failed", { message: describeError(error) }))
-            .finally(() => {
-                this.changingSince = undefined;
-            });
+            .catch(error => logger.warn("member-change-failed", { message: describeError(error) }));
     }
 }
--- a/packages/control/src/planMembership.ts
+++ b/packages/control/src/planMembership.ts
@@ -5,13 +5,22 @@
     members: readonly string[];
     /** This member, which is the leader. */
     self: string;
-    /** Processes that asked to join recently. */
+    /** Processes that asked to join recently, in the order in which they are tried. */
     joiners: readonly string[];
-    /** Time since a member last answered, in milliseconds. */
-    getAnswerAgeMs: (member: string) => number;
+    /** Whether the disk of a joiner holds all that is committed. */
+    hasCopy: (joiner: string) => boolean;
+    /** Time for which a member or joiner has not answered the leader, in milliseconds. */
+    getSilenceMs: (process: string) => number;
     targetMembers: number;
 }
 
+/** What the leader does about its members now. */
+export interface MembershipPlan {
+    /** Joiners to which the leader sends the log, so that one of them can be added. */
+    learners: string[];
+    change: MemberChange | undefined;
+}
+
 /** Number of members that the group grows to and keeps: the target, or the number of founders if that is larger. */
 export function computeGroupSize(founding: Pick<FoundingSettings, "seeds" | "targetMembers">): number {
     return Math.max(founding.targetMembers, founding.seeds.length);
@@ -20,36 +29,57 @@
 /** One change of membership; the log takes one at a time. */
 export type MemberChange = { kind: "add" | "remove"; member: string; members: string[] };
 
-/** A member that has not answered for this long may be replaced by one that asks to join, in milliseconds. */
+/** A member that has not answered for this long may be replaced by a joiner that holds a copy, in milliseconds. */
 const REPLACE_AFTER_MS = 2500;
+/** A joiner that holds a copy is added only if it has answered within this time, in milliseconds. */
+const ADD_WITHIN_MS = 500;
+/** Most joiners that receive the log at once. More than one, so that a slow joiner does not delay a fast one. */
+const MAX_LEARNERS = 3;
 
 /**
- * Chooses the next change of the control group, if any. A joiner at a member's address proves that this member has lost
- * its disk: the member is removed before the joiner is added. At the target size, joiners wait until a member stops
- * answering. Above it, none is removed for a joiner, since none would be added.
+ * Chooses the next change of the control group, if any. Neither kind of change lowers the number of losses that the group
+ * bears:
+ *
+ * - A member is removed if a joiner at its address proves that its disk is lost: it can never answer again. A silent one,
+ *   which may be back with its disk, is removed only once a joiner that holds a copy can take its place.
+ * - A joiner is added only once its disk holds all that is committed and it answers.
+ *
+ * At the target size, joiners wait until a member is lost. Above it, none is removed for a joiner that is not added.
  */
-export function planMembership(input: MembershipInput): MemberChange | undefined {
-    const joiners = input.joiners.filter(candidate => !input.members.includes(candidate));
-    const former = input.members.find(member =>
-        member !== input.self && joiners.some(joiner => getMemberAddress(joiner) === getMemberAddress(member))
-    );
-    if (former !== undefined) {
-        return buildRemoval(input, former);
-    }
-    const [joiner] = joiners;
-    if (joiner === undefined) {
-        return undefined;
+export function planMembership(input: MembershipInput): MembershipPlan {
+    const { members, self, targetMembers } = input;
+    const joiners = input.joiners.filter(joiner => !members.includes(joiner));
+    const learners = joiners.slice(0, MAX_LEARNERS);
+    const replaced = members.find(member => member !== self && joiners.some(joiner => isSameAddress(joiner, member)));
+    if (replaced !== undefined) {
+        return { learners: members.length > targetMembers ? [] : learners, change: buildRemoval(input, replaced) };
     }
-    if (input.members.length < input.targetMembers) {
-        return { kind: "add", member: joiner, members: [...input.members, joiner] };
+    const silent = members.length === targetMembers ? findSilent(input) : undefined;
+    if (members.length >= targetMembers && silent === undefined) {
+        return { learners: [], change: undefined };
     }
-    if (input.members.length > input.targetMembers) {
-        return undefined;
+    const ready = learners.find(joiner => canAdd(input, joiner));
+    if (ready === undefined) {
+        return { learners, change: undefined };
     }
-    const unresponsive = input.members
-        .filter(member => member !== input.self && input.getAnswerAgeMs(member) > REPLACE_AFTER_MS)
-        .sort((left, right) => input.getAnswerAgeMs(right) - input.getAnswerAgeMs(left));
-    return unresponsive.length === 0 ? undefined : buildRemoval(input, unresponsive[0]);
+    const change: MemberChange = silent === undefined
+        ? { kind: "add", member: ready, members: [...members, ready] }
+        : buildRemoval(input, silent);
+    return { learners, change };
+}
+
+function isSameAddress(left: string, right: string): boolean {
+    return getMemberAddress(left) === getMemberAddress(right);
+}
+
+function canAdd(input: MembershipInput, joiner: string): boolean {
+    return input.hasCopy(joiner) && input.getSilenceMs(joiner) <= ADD_WITHIN_MS;
+}
+
+/** Finds the member that has not answered for longest, if that is long enough to replace it. */
+function findSilent({ members, self, getSilenceMs }: MembershipInput): string | undefined {
+    return members.filter(member => member !== self && getSilenceMs(member) > REPLACE_AFTER_MS)
+        .sort((left, right) => getSilenceMs(right) - getSilenceMs(left))[0];
 }
 
 function buildRemoval(input: MembershipInput, member: string): MemberChange {
--- a/packages/matrix/src/controlVm.ts
+++ b/packages/matrix/src/controlVm.ts
@@ -101,7 +101,7 @@
     readonly stateMachine = new ControlStateMachine();
     /** Addresses at which other members are expected. */
     private readonly addresses = new Set<string>();
-    /** When the link to each member is up. */
+    /** When the link to each member or learner is up. */
     private readonly linkedAt = new Map<string, number>();
     private membershipTask: MembershipTask | undefined;
     private leaderCaller: LeaderCaller | undefined;
@@ -199,7 +199,7 @@
             listLinks: () => this.listLinks(),
             targetMembers,
             logger,
-            onMembersChange: members => this.updateLinks(members),
+            onPeersChange: peers => this.updateLinks(peers),
         });
         this.leaderCaller = new LeaderCaller({
             id: identity.id,
@@ -227,10 +227,10 @@
         }
     }
 
-    private updateLinks(members: readonly string[]): void {
-        members.forEach(member => this.addresses.add(getMemberAddress(member)));
+    private updateLinks(peers: readonly string[]): void {
+        peers.forEach(peer => this.addresses.add(getMemberAddress(peer)));
         for (const known of this.linkedAt.keys()) {
-            if (!members.includes(known)) {
+            if (!peers.includes(known)) {
                 this.linkedAt.delete(known);
             }
         }
--- a/packages/matrix/src/durability.feature
+++ b/packages/matrix/src/durability.feature
@@ -32,6 +32,13 @@
             | 8   | 400  | 4     |
             | 5   | 150  | 4     |
 
+    # Guards against members that hold no copy and can't answer: a process that asked to join was added at once, in the place of a
+    # member that might have been back with its disk.
+    Scenario: A process whose disk hangs and that asks to join takes no member's place
+        When operators publish to 8 control VMs for 40 s amid "losses in turn beside a hanging disk", with links that take 150 ms to set up and seeds 1 to 6
+        Then nothing acknowledged is lost or shown in an older state, and no process ends for another reason than its disk
+        And members change at most once for each disk that is lost and once for each that takes its place
+
     Scenario Outline: The simulation detects that the guard <guard> is disabled
         When operators publish to 5 control VMs for 8 s amid "<disruptions>", with seeds 1 to 5, without "<guard>"
         Then something acknowledged is lost or shown in an older state
--- a/packages/matrix/src/durabilityFaults.ts
+++ b/packages/matrix/src/durabilityFaults.ts
@@ -1,3 +1,4 @@
+import { getMemberAddress } from "@kumquathall/control-directory";
 import type { DiskFailure } from "@kumquathall/storage";
 import type { ControlNetwork } from "./controlNetwork.js";
 import type { ControlVm } from "./controlVm.js";
@@ -36,6 +37,8 @@
 /** Longer than the time after which a silent member is replaced, in milliseconds. */
 const DARK_MS = 3500;
 const WIPED_MS = 1500;
+/** Time for each write of a disk that hangs, in milliseconds. */
+const HANGING_DISK_MS = 10_000;
 
 type Builder = (simulation: FaultTarget) => Disruption | undefined;
 
@@ -69,7 +72,8 @@
         simulation.network.listVms().some(vm => vm.disk.failure !== undefined)
             ? undefined
             : buildDiskFailure(simulation, DISK_FULL),
-    "losses in turn": buildLossInTurn,
+    "losses in turn": simulation => buildLossInTurn(simulation, listUp(simulation)[0]),
+    "losses in turn beside a hanging disk": buildLossBesideHangingDisk,
 };
 
 /** Chooses a disruption by the simulation's random source; `undefined` if the chosen one is not possible now. */
@@ -142,8 +146,7 @@
 }
 
 /** Darkens a VM for longer than a member may be silent, or replaces its disk, once earlier losses have been made up for. */
-function buildLossInTurn(simulation: FaultTarget): Disruption | undefined {
-    const [vm] = listUp(simulation);
+function buildLossInTurn(simulation: FaultTarget, vm: ControlVm): Disruption | undefined {
     if (simulation.countSpareDisks() < MAX_LOST) {
         return undefined;
     }
@@ -162,6 +165,21 @@
     return { name: `${isDark ? "dark" : "disk"} ${formatNames([vm])}`, lastsMs: downMs, begin };
 }
 
+/** Lets the disk of a VM hang that is no member, so that it asks to join and can't; others are lost in turn. */
+function buildLossBesideHangingDisk(simulation: FaultTarget): Disruption | undefined {
+    const { diskSlowness } = simulation.network;
+    if (diskSlowness.size === 0) {
+        const members = findLeader(simulation)?.process?.runtime?.getMembers().map(getMemberAddress) ?? [];
+        const beside = simulation.network.listVms().find(vm => !members.includes(vm.options.address));
+        if (members.length === 0 || beside === undefined) {
+            return undefined;
+        }
+        diskSlowness.set(beside.options.address, HANGING_DISK_MS);
+    }
+    const [vm] = listUp(simulation).filter(item => !diskSlowness.has(item.options.address));
+    return buildLossInTurn(simulation, vm);
+}
+
 /** Removes a VM for good; one at another address, with an empty disk, takes its place. */
 function buildReplacement(simulation: FaultTarget): Disruption | undefined {
     const vm = simulation.pick(listUp(simulation));
--- a/packages/matrix/src/durabilitySimulation.ts
+++ b/packages/matrix/src/durabilitySimulation.ts
@@ -238,6 +238,7 @@
     /** Waits until the group is whole, and lets the final fault strike right after an acknowledgement. */
     private async executeFinalFault(): Promise<void> {
         // Disruptions under way end first; VMs that are down come back by themselves.
+        this.network.diskSlowness.clear();
         await this.advance(Math.floor(this.random() * 8000) + 4000);
         while (this.countSpareDisks() < this.toleratedDisks) {
             await this.advance(STEP_MS);
