Forget what an earlier process at a joiner's address had asked

Fix: a request drops those of other processes at its address. Evidence: membership.feature, 'A process that starts again at an address takes the place of the one that had asked before', fails before ('f:1,g:1#x,g:1#y').

--- a/packages/control/src/joinerQueue.ts
+++ b/packages/control/src/joinerQueue.ts
@@ -1,3 +1,5 @@
+import { getMemberAddress } from "@kumquathall/control-directory";
+
 interface Joiner {
     askedAt: number;
     /** When it became a learner; `undefined` if it is none. */
@@ -13,7 +15,13 @@
 export class JoinerQueue {
     private readonly joiners = new Map<string, Joiner>();
 
+    /** Records a request; it shows that any other process that asked at the same address has ended. */
     record(member: string, now: number): void {
+        for (const other of this.joiners.keys()) {
+            if (other !== member && getMemberAddress(other) === getMemberAddress(member)) {
+                this.joiners.delete(other);
+            }
+        }
         this.joiners.set(member, { askedAt: now, learnsSince: this.joiners.get(member)?.learnsSince });
     }
 
--- a/packages/control/src/membership.feature
+++ b/packages/control/src/membership.feature
@@ -90,6 +90,12 @@
         And it sends to "b:1,c:1,d:1" for 2 s
         Then "b:1", which last answered 9 s ago, has been silent for 2 s
 
+    # Guards against the removal of a member for what an earlier process at its address had asked before it ended.
+    Scenario: A process that starts again at an address takes the place of the one that had asked before
+        Given the joiners "f:1,g:1#x", which ask again and again
+        When "g:1#y" asks to join
+        Then the joiners are tried in the order "f:1,g:1#y"
+
     # Guards against joiners that are slow and keep others from being tried.
     Scenario: Joiners that are slow go last, and a process that has ended asks no longer
         Given the joiners "f:1,g:1,h:1,i:1", which ask again and again
