Let a former member learn from members that it is none

What callers saw: a departure of an endpoint, confirmed by a former member that had started again with its old log, counted for an earlier start of the endpoint; requests went on reaching it.

Cause: whether a process is a member was read from its own log. That of a member that was removed while it was away still names it.

Fix: members say up to which index their log is committed. A process that a member with a log committed beyond its own lists no more is no member: it has departures recorded by a member, does not list itself, and is no way to the group.

--- a/packages/control-directory/src/controlDirectory.steps.ts
+++ b/packages/control-directory/src/controlDirectory.steps.ts
@@ -69,6 +69,36 @@
     },
 );
 
+Given(
+    "control members that are committed up to {int}, {int} and {int} and list each other",
+    async (first: number, second: number, third: number) => {
+        for (const [at, committedIndex] of [first, second, third].entries()) {
+            listeners.push(
+                await LinkListener.listen({
+                    address: { host: HOST, port: 0 },
+                    identity: createIdentity("control", `control-${at}`),
+                    handlers: {
+                        onCall: () => {
+                            answered += at === 2 ? 1 : 0;
+                            return {
+                                kind: "members",
+                                members: listAddresses(),
+                                gateways: 1,
+                                isMember: true,
+                                committedIndex,
+                            };
+                        },
+                    },
+                }),
+            );
+        }
+    },
+);
+
+function listAddresses(): string[] {
+    return listeners.map(listener => `${HOST}:${listener.getPort()}`);
+}
+
 When("a process knows only the first of them", () => {
     openDirectory([`${HOST}:${listeners[0].getPort()}`]);
 });
@@ -89,6 +119,20 @@
     strictEqual(directory?.countGateways(), count);
 });
 
+Then(
+    "it knows that a process beside them whose log ends at {int} is no member: {word}",
+    { timeout: WAIT_TIMEOUT_MS * 2 },
+    async (lastIndex: number, expected: string) => {
+        const before = answered;
+        await waitUntil(() => answered >= before + 2);
+        strictEqual(directory?.isListedWithout("control-9", lastIndex), expected === "yes");
+    },
+);
+
+Then("it knows that the first of them is no member: no", () => {
+    strictEqual(directory?.isListedWithout(listAddresses()[0], 0), false);
+});
+
 Then("a process that knows none of them counts {int} gateways", (count: number) => {
     strictEqual(openDirectory([]).countGateways(), count);
 });
--- a/packages/control-directory/src/controlDirectory.ts
+++ b/packages/control-directory/src/controlDirectory.ts
@@ -45,6 +45,8 @@
     private gatewayCount = 1;
     /** Members as listed by members themselves, in the newest refresh in which one answered. */
     private members: readonly string[] = [];
+    /** The list of the member whose log was committed furthest. */
+    private newestList: { members: readonly string[]; committedIndex: number } | undefined;
     private searchTimer: NodeJS.Timeout | undefined;
     private isClosed = false;
     private readonly timer: NodeJS.Timeout;
@@ -71,6 +73,13 @@
         return this.members;
     }
 
+    /** Whether a member whose log was committed beyond `lastIndex` has listed the members without this one. */
+    isListedWithout(member: string, lastIndex: number): boolean {
+        const { newestList } = this;
+        return newestList !== undefined && newestList.committedIndex > lastIndex
+            && !newestList.members.includes(member);
+    }
+
     /** Open links to processes that members have listed as members. */
     listMemberLinks(): Link[] {
         return this.listLinks().filter(link => link.peer !== undefined && this.members.includes(link.peer.id));
@@ -127,10 +136,16 @@
 
     /** Records what members list. What others have learned is not recorded, so that no list outlives its members. */
     private recordMembers(answers: MembersAnswer[]): void {
-        const members = answers.filter(answer => answer.isMember !== false).flatMap(answer => answer.members);
+        const lists = answers.filter(answer => answer.isMember !== false);
+        const members = lists.flatMap(answer => answer.members);
         if (members.length > 0) {
             this.members = [...new Set(members)].sort();
         }
+        for (const { members: listed, committedIndex } of lists) {
+            if (committedIndex !== undefined && committedIndex >= (this.newestList?.committedIndex ?? 0)) {
+                this.newestList = { members: listed, committedIndex };
+            }
+        }
     }
 
     private closeUnlisted(): void {
--- a/packages/control/src/controlDiscovery.ts
+++ b/packages/control/src/controlDiscovery.ts
@@ -1,4 +1,4 @@
-import type { ConsensusRuntime } from "@kumquathall/consensus";
+import { type ConsensusRuntime, getLastIndex } from "@kumquathall/consensus";
 import { ControlDirectory, getMemberAddress } from "@kumquathall/control-directory";
 import { describeError } from "@kumquathall/errors";
 import type { Link, LinkHandlers, PeerIdentity } from "@kumquathall/link";
@@ -35,7 +35,8 @@
 
 /**
  * Finds the control group for this process, and for those that know only this one. A process that is no member lists the
- * members as it has learned them: its own log names none, or former ones.
+ * members as it has learned them: its own log names none, or former ones. A former member that restarts with its old log learns
+ * from members that it is none.
  */
 export class ControlDiscovery {
     private readonly directory: ControlDirectory;
@@ -127,17 +128,20 @@
         return undefined;
     }
 
-    /** Whether this process is a member, according to its log. */
+    /** Whether this process is a member: its log says so, and no member with a log that goes further says otherwise. */
     isMember(): boolean {
-        return this.options.runtime.getMembers().includes(this.options.id);
+        const { runtime, id } = this.options;
+        return runtime.getMembers().includes(id)
+            && !this.directory.isListedWithout(id, getLastIndex(runtime.getState()));
     }
 
     /** Lists the members; `gateways` is the number of gateways linked to this process. */
     buildMembersAnswer(gateways: number): MembersAnswer {
+        const { runtime } = this.options;
         const isMember = this.isMember();
         const learned = isMember ? [] : this.directory.listMembers();
-        const members = [...new Set([...this.options.runtime.getMembers(), ...learned])];
-        return { kind: "members", members, gateways, isMember };
+        const members = [...new Set([...runtime.getMembers(), ...learned])];
+        return { kind: "members", members, gateways, isMember, committedIndex: runtime.getState().commitIndex };
     }
 
     close(): void {
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -121,6 +121,8 @@
     gateways: number;
     /** Whether it is a member according to its log. Absent in answers of earlier builds, which list only their log's. */
     isMember?: boolean;
+    /** Index up to which its log is committed, as far as it knows. Absent in answers of earlier builds. */
+    committedIndex?: number;
 }
 
 /**
