Send readers no configuration from a process that is no member

Found on reading, after joiners had become learners: revisions and reads were answered from whatever a process held. A learner that is not needed any more, or a member that was removed while it ran, keeps an old configuration; a gateway that starts with such a process as its first link would be ready with it.

Fix: a process that is no member answers as if it had no configuration.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -19,6 +19,7 @@
     ColdFact,
     Command,
     CommandResult,
+    ConfigurationValue,
     ControlAnswer,
     ControlCall,
     CrashEvidenceFact,
@@ -28,6 +29,7 @@
     PermitWant,
     TrafficConfiguration,
 } from "@kumquathall/types";
+import { createVersionedMap, type VersionedMap } from "@kumquathall/versioned-map";
 import { readContacts } from "./controlContacts.js";
 import { ControlDiscovery } from "./controlDiscovery.js";
 import type { ControlSettings } from "./controlSettings.js";
@@ -69,6 +71,8 @@
     canOrderEngines?: boolean;
 }
 
+const NO_CONFIGURATION = createVersionedMap<ConfigurationValue>();
+
 /** One member of the control group. */
 export class ControlRole implements RunningRole {
     private readonly stateMachine = new ControlStateMachine();
@@ -101,7 +105,7 @@
     ) {
         this.identity = createIdentity(context, "control", id);
         this.faults = createInputFaultLog(context);
-        this.distributor = new Distributor(() => this.stateMachine.getState().configuration, context.logger);
+        this.distributor = new Distributor(() => this.getReadableConfiguration(), context.logger);
     }
 
     static async start(
@@ -215,6 +219,13 @@
         await this.runtime.close();
     }
 
+    /** The configuration that readers get: none at a process that is no member, whose log may be behind for any time. */
+    private getReadableConfiguration(): VersionedMap<ConfigurationValue> {
+        return this.discovery?.isMember() === false
+            ? NO_CONFIGURATION
+            : this.stateMachine.getState().configuration;
+    }
+
     private async open(): Promise<void> {
         const { context, settings } = this;
         const disk = new NodeDisk(settings.dataFolder);
