Add a learner that is a moment behind what is committed

While entries are committed all the time, each reaches a learner a moment after the majority, so that one with a slow disk might never be added; with two leaders lost meanwhile, 2 of 4 members were left.

Fix: a learner needs what was committed half a second ago (RecentCommits), or when this leader first decided, if that was later. What is committed after that is held by a majority of the other members, as for any member that lags.

Evidence: membership.feature, 'A joiner that is a moment behind holds a copy'; before, one that lacks the newest entry holds none.

--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -42,15 +42,11 @@
 
 /** Members whose disks hold the log up to an index, as far as this member knows. Only the leader knows of others. */
 export function listHolders(state: ConsensusState<unknown>, index: number): string[] {
-    return getMembers(state).filter(member => isHolder(state, member, index));
+    return getMembers(state).filter(member => hasCopy(state, member, index));
 }
 
-/** Whether the disk of a member or learner holds all that is committed, as far as this leader knows. */
-export function hasCopy(state: ConsensusState<unknown>, process: string): boolean {
-    return isHolder(state, process, state.commitIndex);
-}
-
-function isHolder(state: ConsensusState<unknown>, process: string, index: number): boolean {
+/** Whether the disk of a member or learner holds the log up to an index, all that is committed by default, as far as known. */
+export function hasCopy(state: ConsensusState<unknown>, process: string, index: number = state.commitIndex): boolean {
     const held = process === state.id ? state.durableIndex : state.peers[process]?.matchIndex ?? 0;
     return held >= index;
 }
--- a/packages/consensus/src/runtime.ts
+++ b/packages/consensus/src/runtime.ts
@@ -144,9 +144,9 @@
         return listHolders(this.state, index);
     }
 
-    /** Whether the disk of a member or learner holds all that is committed, as far as this leader knows. */
-    hasCopy(process: string): boolean {
-        return hasCopy(this.state, process);
+    /** Whether the disk of a member or learner holds the log up to an index, all that is committed by default, as far as known. */
+    hasCopy(process: string, index: number = this.state.commitIndex): boolean {
+        return hasCopy(this.state, process, index);
     }
 
     /** Whether the log holds a change of members that is not committed, as far as this member knows. */
--- a/packages/control/src/membership.feature
+++ b/packages/control/src/membership.feature
@@ -96,6 +96,17 @@
         When "g:1#y" asks to join
         Then the joiners are tried in the order "f:1,g:1#y"
 
+    # Guards against a joiner that is never added because entries are committed all the time, each a moment before it holds it.
+    Scenario Outline: A joiner that is a moment behind holds a copy
+        Given a leader that commits an entry every 100 ms for <seconds> s
+        Then a joiner that lacks the newest <lacking> entries holds a copy: <holds>
+
+        Examples:
+            | seconds | lacking | holds |
+            | 4       | 5       | yes   |
+            | 4       | 6       | no    |
+            | 0       | 0       | yes   |
+
     # Guards against joiners that are slow and keep others from being tried.
     Scenario: Joiners that are slow go last, and a process that has ended asks no longer
         Given the joiners "f:1,g:1,h:1,i:1", which ask again and again
--- a/packages/control/src/membership.steps.ts
+++ b/packages/control/src/membership.steps.ts
@@ -7,6 +7,7 @@
 import { type MemberIdentity, readFoundingIdentity } from "./memberIdentity.js";
 import { MemberSilence } from "./memberSilence.js";
 import { computeGroupSize, type MembershipPlan, planMembership } from "./planMembership.js";
+import { RecentCommits } from "./recentCommits.js";
 
 const UNRESPONSIVE_MS = 10_000;
 const TICK_MS = 100;
@@ -19,6 +20,7 @@
 let settled = false;
 let silence: MemberSilence;
 let joiners: JoinerQueue;
+let commits: RecentCommits;
 let now = 0;
 
 Given(
@@ -148,6 +150,18 @@
     strictEqual(Math.round(silence.compute(now, process, undefined) / 1000), silentS);
 });
 
+Given("a leader that commits an entry every {int} ms for {int} s", (everyMs: number, seconds: number) => {
+    commits = new RecentCommits();
+    for (now = 0; now <= seconds * 1000; now += TICK_MS) {
+        commits.record(now, Math.floor(now / everyMs));
+    }
+});
+
+Then("a joiner that lacks the newest {int} entries holds a copy: {word}", (lacking: number, expected: string) => {
+    const newest = Math.floor((now - TICK_MS) / TICK_MS);
+    strictEqual(newest - lacking >= commits.getEarlierIndex() ? "yes" : "no", expected);
+});
+
 Given("the joiners {string}, which ask again and again", (members: string) => {
     now = 0;
     joiners = new JoinerQueue();
--- a/packages/control/src/membershipTask.ts
+++ b/packages/control/src/membershipTask.ts
@@ -6,6 +6,7 @@
 import { JoinerQueue } from "./joinerQueue.js";
 import { MemberSilence } from "./memberSilence.js";
 import { type MemberChange, planMembership } from "./planMembership.js";
+import { RecentCommits } from "./recentCommits.js";
 
 export interface MembershipTaskOptions {
     id: string;
@@ -27,6 +28,7 @@
 export class MembershipTask {
     private readonly joiners = new JoinerQueue();
     private readonly silence = new MemberSilence();
+    private readonly commits = new RecentCommits();
     private lastAskedAt = Number.NEGATIVE_INFINITY;
     private lastMembers = "";
     private lastLearners = "";
@@ -60,6 +62,7 @@
         }
         if (role !== Role.Leader) {
             this.silence.clear();
+            this.commits.clear();
             return;
         }
         this.silence.update(now, [...members, ...learners]);
@@ -98,12 +101,14 @@
 
     private decideChange(now: number, members: readonly string[]): void {
         const { runtime, id, targetMembers } = this.options;
-        const { peers } = runtime.getState();
+        const { peers, commitIndex } = runtime.getState();
+        this.commits.record(now, commitIndex);
+        const neededIndex = this.commits.getEarlierIndex();
         const plan = planMembership({
             members,
             self: id,
             joiners: this.joiners.list(now),
-            hasCopy: joiner => runtime.hasCopy(joiner),
+            hasCopy: joiner => runtime.hasCopy(joiner, neededIndex),
             getSilenceMs: process => this.silence.compute(now, process, peers[process]?.answeredSentAt),
             targetMembers,
         });
