--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,126 +1,121 @@
-// Many users come at once, so that requests wait for a connection to their server. Does a server to which a request is sent
-// once more get more time than its client has left?
+// A server crashes in the middle of its streams. Their ids are times in microseconds, which have 16 digits. The clients resume
+// at another machine with the id of the last event that they have. Do they get each piece once?
+import http from "node:http";
 import { dirname } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { buildManifest, buildRoute, Deployment, PlainServer, runCase, send } from "../standins-3/deployment.mjs";
+import { buildManifest, buildRoute, Deployment, HOST_NAME, KEY, PlainServer, runCase } from "../standins-3/deployment.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-const SLOTS = 6;
-const QUEUE = 24;
-const WORK_MS = 85.7;
-const DEADLINE_MS = 3000;
-/** Three servers with 6 slots finish 210 requests of 85.7 ms a second; the usual traffic takes 71 in 100 of that. */
-const PER_SECOND = 150;
-const BURST = 1.7;
-const BURST_FROM_MS = 12_000;
-const BURST_MS = 14_000;
-const TRAFFIC_MS = 30_000;
-/** A request counts as sent once more so late, and a time as too long, from this on, in milliseconds. */
-const LATE_MS = 500;
+const STREAMS = 12;
+const PIECES = 30;
+const GAP_MS = 100;
+const CRASH_AFTER_MS = 1200;
+const CRASH_MS = 4500;
+/** 1 October 2026 in Unix microseconds. */
+const FIRST_ID = 1_790_812_800_000_000;
 
-/** Arrivals at servers by request id, in order. */
-const arrivals = new Map();
+/** Id of a piece of a stream; ids increase within a stream and differ between streams. */
+function getEventId(stream, piece) {
+    return FIRST_ID + stream * 1_000_000 + piece * 1000;
+}
 
-/** Builds a server that runs `SLOTS` requests at once, queues `QUEUE` more and turns others away. */
-function buildRun() {
-    let running = 0;
-    const queue = [];
-    const startNext = () => {
-        while (running < SLOTS && queue.length > 0) {
-            running++;
-            queue.shift()();
+/** Sends the pieces of a stream after the one that `Last-Event-Id` names, or all without it. */
+async function run(request, response, { id, server, headers, path }) {
+    request.resume();
+    const stream = Number(path.split("/").at(-1));
+    const lastId = headers["last-event-id"];
+    request.socket.deployment.record(`${server} runs ${id}, Last-Event-Id ${lastId ?? "none"}`);
+    response.writeHead(200, {
+        "request-id": id, "server-stamp": `stamp-${server}-${id}`, "content-type": "text/event-stream",
+    });
+    for (let piece = 1; piece <= PIECES && !response.destroyed; piece++) {
+        const eventId = getEventId(stream, piece);
+        if (lastId === undefined || eventId > Number(lastId)) {
+            response.write(`id: ${eventId}\ndata: piece ${piece} of stream ${stream}\n\n`);
+            await sleep(GAP_MS);
         }
-    };
-    return async (request, response, { id }, server) => {
-        request.resume();
-        const list = arrivals.get(id) ?? [];
-        arrivals.set(id, list);
-        list.push({ at: performance.now(), timeMs: Number(request.headers["deadline-ms"]), server: server.id });
-        const load = { "server-load": `${running},${queue.length},${SLOTS}` };
-        if (queue.length >= QUEUE) {
-            response.writeHead(503, { "request-id": id, "not-run": "1", ...load }).end();
-            return;
+    }
+    response.end();
+}
+
+/** Reads one response of a stream; resolves with whether it is complete. Whole events are added to `events`. */
+function read(gateway, id, stream, lastId, events) {
+    return new Promise(resolve => {
+        const headers = { host: HOST_NAME, "request-id": id, "deadline-ms": "8000", key: KEY, "content-length": "4" };
+        if (lastId !== undefined) {
+            headers["last-event-id"] = String(lastId);
         }
-        await new Promise(resolve => {
-            queue.push(resolve);
-            startNext();
+        const request = http.request({
+            host: gateway.host, port: gateway.port, method: "POST", path: `/lohu930/${stream}`, agent: false, headers,
+        }, response => {
+            let text = "";
+            response.on("data", chunk => {
+                const parts = (text + chunk.toString()).split("\n\n");
+                text = parts.pop();
+                for (const part of parts) {
+                    events.push({
+                        id: /^id: (\d+)$/m.exec(part)?.[1],
+                        piece: Number(/^data: piece (\d+) /m.exec(part)?.[1]),
+                    });
+                }
+            });
+            response.on("error", () => resolve(false));
+            response.on("end", () => resolve(response.statusCode === 200 && response.complete));
         });
-        // Drops a request whose channel closes.
-        const endsAt = performance.now() + WORK_MS;
-        while (performance.now() < endsAt && !response.destroyed) {
-            await sleep(10);
-        }
-        if (!response.destroyed) {
-            const body = `answer to ${id}`;
-            response.writeHead(200, {
-                "request-id": id, "server-stamp": `stamp-${server.id}-${id}`, "content-length": Buffer.byteLength(body), ...load,
-            }).end(body);
-        }
-        running--;
-        startNext();
-    };
+        request.on("error", () => resolve(false));
+        request.end("body");
+    });
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async keep => {
-    const deployment = await Deployment.start({ controls: 5, gateways: 1 });
+    const deployment = await Deployment.start({ controls: 5, gateways: 2 });
     keep(deployment);
+    const servers = [];
     for (let at = 0; at < 3; at++) {
-        await new PlainServer(deployment, { service: "pedidos", at, slots: SLOTS, run: buildRun() }).listen();
+        const server = new PlainServer(deployment, { service: "lm-taller", at, slots: 34, run });
+        server.server.on("connection", socket => socket.deployment = deployment);
+        servers.push(await server.listen());
     }
     await deployment.publish(buildManifest(
         1,
-        [buildRoute("stock-lookup", "/lohu930/", "idempotent", "pedidos")],
-        [{ Name: "pedidos", HealthPath: "/healthz", MaxConns: 110, Protocol: "h1", Tls: false }],
+        [buildRoute("tone-notes", "/lohu930/", "streaming", "lm-taller", {
+            TimeoutMs: 8000, GoalMs: 400, GapTargetMs: 300, Resumable: true,
+        })],
+        [{ Name: "lm-taller", HealthPath: "/healthz", MaxConns: 502, Protocol: "h1", Tls: false }],
     ));
     await deployment.waitReady();
-    await sleep(3000);
-    const [gateway] = deployment.gateways;
-    const sentAt = new Map();
-    const outcomes = {};
-    const requests = [];
-    const startedAt = performance.now();
-    let lastAt = startedAt;
-    let due = 0;
-    let hasBurst = false;
-    while (performance.now() - startedAt < TRAFFIC_MS) {
-        const now = performance.now();
-        const sinceStart = now - startedAt;
-        const isBurst = HAS_TROUBLE && sinceStart >= BURST_FROM_MS && sinceStart < BURST_FROM_MS + BURST_MS;
-        if (isBurst !== hasBurst) {
-            hasBurst = isBurst;
-            deployment.record(isBurst ? `${BURST} times the traffic` : "the usual traffic");
-        }
-        due += (now - lastAt) * PER_SECOND * (isBurst ? BURST : 1) / 1000;
-        lastAt = now;
-        for (; due >= 1; due--) {
-            const id = `r${sentAt.size}`;
-            sentAt.set(id, performance.now());
-            requests.push(send(gateway, { method: "GET", path: "/lohu930/2f", id, body: "", deadlineMs: DEADLINE_MS })
-                .then(answer => {
-                    const outcome = answer.status ?? answer.error;
-                    outcomes[outcome] = (outcomes[outcome] ?? 0) + 1;
-                }));
-        }
-        await sleep(2);
-    }
-    await Promise.all(requests);
-    let sentAgain = 0;
-    let tooLong = 0;
-    for (const [id, [first, ...others]] of arrivals) {
-        for (const { at, timeMs, server } of others.filter(other => other.at > first.at + LATE_MS)) {
-            sentAgain++;
-            const endsAt = at + timeMs;
-            const clientEndsAt = sentAt.get(id) + DEADLINE_MS;
-            if (endsAt > first.at + first.timeMs + LATE_MS && endsAt > clientEndsAt + LATE_MS) {
-                tooLong++;
-                deployment.record(`${id} first at ${first.server} with ${first.timeMs} ms; ${Math.round(at - first.at)} ms later at `
-                    + `${server} with ${timeMs} ms, which end ${Math.round(endsAt - clientEndsAt)} ms after its client's time`);
+    await sleep(4000);
+    const streams = Promise.all(Array.from({ length: STREAMS }, async (_, stream) => {
+        const events = [];
+        let isComplete = false;
+        for (let attempt = 0; attempt < 3 && !isComplete; attempt++) {
+            const gateway = deployment.gateways[(stream + attempt) % deployment.gateways.length];
+            const lastId = events.at(-1)?.id;
+            if (attempt > 0) {
+                deployment.record(`the channel of stream ${stream} broke after piece ${events.at(-1)?.piece}; its client resumes `
+                    + `at ${gateway.name}, Last-Event-Id ${lastId}`);
             }
+            isComplete = await read(gateway, `r${stream}-${attempt}`, stream, lastId, events);
         }
+        return { stream, isComplete, pieces: events.map(event => event.piece) };
+    }));
+    if (HAS_TROUBLE) {
+        await sleep(CRASH_AFTER_MS);
+        servers[0].close();
+        deployment.record(`${servers[0].id} crashes for ${CRASH_MS} ms`);
+        await sleep(CRASH_MS);
+        await new PlainServer(deployment, { service: "lm-taller", at: 0, slots: 34, run }).listen();
+    }
+    let broken = 0;
+    for (const { stream, isComplete, pieces } of await streams) {
+        const twice = [...new Set(pieces.filter((piece, at) => pieces.indexOf(piece) !== at))];
+        const missing = Array.from({ length: PIECES }, (_, at) => at + 1).filter(piece => !pieces.includes(piece));
+        const isBroken = twice.length > 0 || (isComplete && missing.length > 0);
+        broken += isBroken ? 1 : 0;
+        deployment.record(`stream ${stream}: ${isComplete ? "complete" : "not complete"}, ${pieces.length} pieces, `
+            + `${twice.length} of them twice, ${missing.length} missing`);
     }
-    deployment.record(`${sentAt.size} requests, answers to clients: ${JSON.stringify(outcomes)}`);
-    deployment.record(`${sentAgain} requests were sent once more over ${LATE_MS} ms later; ${tooLong} of them with a time that ends `
-        + `over ${LATE_MS} ms after the first one and the client's own`);
-    return tooLong > 20 && tooLong > sentAgain / 5;
+    deployment.record(`${broken} of ${STREAMS} streams had pieces twice, or ended as complete without all pieces`);
+    return broken > 0;
 });
