Resume streams after event ids of any length

Callers that resumed with an id of 16 digits got the stream from its beginning, and had 12 of 30 events twice. The gateway couldn't continue such a stream within its response either.

Cause: event ids were floating-point numbers. To keep inexact ones out, the header codec and the event parser took at most 15 digits, and treated a longer id as absent. The caller's Last-Event-Id was removed all the same.

Fix: an id is a string of digits from the header or the event to the next endpoint's header and the log, and compares by its numeric value. A Last-Event-Id that is no number is passed on unchanged. An id in a stream counts towards the memory of held responses; one that no header can hold (64 KiB) is an event without an id.

--- a/packages/gateway/src/endpointSilence.steps.ts
+++ b/packages/gateway/src/endpointSilence.steps.ts
@@ -52,11 +52,19 @@
 });
 
 Given(
-    /^a gateway with (\d+) endpoints?, 1 retry(, 2 more a second from 5000 ms on,)? and (.+)$/,
-    (endpoints: string, more: string | undefined, route: string) => {
-        const retrySlack = more === undefined ? 0 : SLACK;
+    /^a gateway with (\d+) endpoints?, (\d+) retr(?:y|ies)(, 2 more a second from 5000 ms on,)? and (.+)$/,
+    (endpoints: string, retries: string, more: string | undefined, route: string) => {
+        const retrySlack = more === undefined && retries === "1" ? 0 : SLACK;
+        // Half of the ratio is added for the first request.
+        const retryRatio = 2 * (Number(retries) - 1);
         clock = install({ toFake: FAKED });
-        harness = new ForwardingHarness({ clock, endpoints: Number(endpoints), retrySlack, route: ROUTES[route] });
+        harness = new ForwardingHarness({
+            clock,
+            endpoints: Number(endpoints),
+            retrySlack,
+            retryRatio,
+            route: { maxEndpoints: Number(retries) + 1, ...ROUTES[route] },
+        });
         callers = [];
     },
 );
--- a/packages/gateway/src/eventStreamParser.ts
+++ b/packages/gateway/src/eventStreamParser.ts
@@ -1,8 +1,9 @@
 import { type ByteBudget, ByteCollector } from "@kumquathall/byte-collector";
+import { parseEventId } from "./eventId.js";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_PATTERN = /^id:\s*(\d{1,15})\s*$/m;
+const ID_LINE_PATTERN = /^id:[ \t]*(\d+)[ \t]*$/m;
 /** Largest event that is held until it is complete, in bytes. */
 export const MAX_EVENT_BYTES = 1024 * 1024;
 /** Lines without which a block is no event: comments, and the time after which to connect again. */
@@ -10,7 +11,8 @@
 
 /** One complete event of a stream, with its bytes unchanged. */
 export interface StreamEvent {
-    id: number | undefined;
+    /** Decimal digits, as the endpoint wrote them. */
+    id: string | undefined;
     /** It carries nothing that belongs to the stream's content. */
     isComment: boolean;
     bytes: Buffer;
@@ -108,10 +110,20 @@
 
 function decodeEvent(bytes: Buffer): StreamEvent {
     const text = bytes.toString("latin1");
-    const id = ID_PATTERN.exec(text)?.[1];
+    const id = findEventId(bytes, text);
     return {
-        id: id === undefined ? undefined : Number(id),
+        id,
         isComment: id === undefined && text.split("\n").every(line => COMMENT_PATTERN.test(line)),
         bytes,
     };
 }
+
+function findEventId(bytes: Buffer, text: string): string | undefined {
+    const match = ID_LINE_PATTERN.exec(text);
+    if (match === null) {
+        return undefined;
+    }
+    const start = match.index + match[0].indexOf(match[1]);
+    // A copy: a part of `text` would keep the whole event in memory.
+    return parseEventId(bytes.toString("latin1", start, start + match[1].length));
+}
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -6,6 +6,7 @@
 import { type EndpointChoice, EndpointChooser } from "./endpointChooser.js";
 import { isMalformed, listRawHeaders } from "./endpointPool.js";
 import type { SentRequest, TrackedEndpoint } from "./endpointTracker.js";
+import { describeEventId, LastEventId } from "./eventId.js";
 import { EventStreamParser, MAX_EVENT_BYTES } from "./eventStreamParser.js";
 import type { ForwardedRequestOptions } from "./forwardedRequestOptions.js";
 import { HeldAnswer } from "./heldAnswer.js";
@@ -45,7 +46,7 @@
     private quarantineRecord: SuspectRecord | undefined;
     private sends = 0;
     private isFinished = false;
-    private lastEventId: number | undefined;
+    private readonly lastEventId: LastEventId;
     /** Media type of the stream that has begun. */
     private mediaType: string | undefined;
     private readonly chooser: EndpointChooser;
@@ -84,7 +85,7 @@
         });
         this.timing = new RequestTiming({ route, arrivedAt, ageMs: options.ageMs, deadlineMs: head.deadlineMs });
         this.retries = new RetryAllowance({ route, budget: options.budget, timing: this.timing });
-        this.lastEventId = head.lastEventId;
+        this.lastEventId = new LastEventId(head.lastEventId, options.answerBytes);
         const { scope } = options;
         this.deadlineTimer = new PeerTimer({
             onExpire: scope.attach(() => this.handleDeadline()),
@@ -119,6 +120,7 @@
     /** Stops what goes on for the request, which an exception has ended. */
     private stopForFault(): void {
         this.isFinished = true;
+        this.lastEventId.close();
         this.deadlineTimer.stop();
         this.stopWaiting();
         this.stallTimer.stop();
@@ -243,7 +245,7 @@
             endpointId: endpoint.view.id,
             account: account?.name,
             priority,
-            lastEventId: this.lastEventId,
+            lastEventId: this.lastEventId.get(),
         });
         const attempt: RunningAttempt = {
             endpoint,
@@ -371,9 +373,10 @@
         }
         let isBehind = false;
         for (const event of attempt.parser.push(chunk)) {
-            const isNext = event.id !== undefined && event.id > (this.lastEventId ?? Number.NEGATIVE_INFINITY);
+            const isNext = event.id !== undefined && this.lastEventId.isBefore(event.id);
             if (attempt.isContinuation && !event.isComment && !isNext) {
-                this.abandon(attempt, `an event does not continue the stream after event ${this.lastEventId}`);
+                const lastId = describeEventId(this.lastEventId.get());
+                this.abandon(attempt, `an event does not continue the stream after event ${lastId}`);
                 return;
             }
             this.recordFirstContent(attempt);
@@ -382,10 +385,9 @@
             }
             this.writeHeadOnce(attempt);
             this.stallTimer.start(this.timing.computeStreamIdleTimeoutMs());
-            if (!isNext && !event.isComment) {
-                this.retries.recordUnidentifiedEvent();
+            if (!event.isComment) {
+                this.recordEventId(isNext ? event.id : undefined);
             }
-            this.lastEventId = event.id ?? this.lastEventId;
             isBehind = !this.answer.writeEvent(event.bytes);
             if (isBehind) {
                 break;
@@ -405,6 +407,13 @@
         }
     }
 
+    /** Records the id of an event that the caller has; `undefined` if the stream can't go on after it elsewhere. */
+    private recordEventId(id: string | undefined): void {
+        if (id === undefined || !this.lastEventId.replace(id)) {
+            this.retries.recordUnidentifiedEvent();
+        }
+    }
+
     private recordFirstContent(attempt: RunningAttempt): void {
         if (attempt.sent.firstContentAt === undefined) {
             this.options.tracker.recordFirstContent(attempt.endpoint, attempt.sent, performance.now());
@@ -445,12 +454,16 @@
         attempt.endpoint.health.record(attempt.status >= FIRST_SERVER_ERROR, performance.now());
         this.subjects.reportSurvival(attempt.endpoint, hasFraming(attempt.headers));
         if (attempt.status >= FIRST_SERVER_ERROR && this.retries.takeRetry()) {
-            this.recorder.recordAttempt(attempt, "endpoint-error", this.lastEventId);
+            this.recorder.recordAttempt(attempt, "endpoint-error", this.lastEventId.get());
             this.sendNext();
             return;
         }
         if (isPromise(attempt.status) && !this.retries.isRepeatable()) {
-            this.recorder.recordAttempt(attempt, "the status promises more than the endpoint does", this.lastEventId);
+            this.recorder.recordAttempt(
+                attempt,
+                "the status promises more than the endpoint does",
+                this.lastEventId.get(),
+            );
             this.finishWithoutResponse(RefusalCause.EndpointFailed);
             return;
         }
@@ -498,7 +511,7 @@
         }
         attempt.handle.abort();
         this.release(attempt);
-        this.recorder.recordAttempt(attempt, "taken-back", this.lastEventId);
+        this.recorder.recordAttempt(attempt, "taken-back", this.lastEventId.get());
         this.sendNext();
     }
 
@@ -519,7 +532,7 @@
     private handleRejection(attempt: RunningAttempt): void {
         const hasRetry = this.retries.takeRetryAfterRejection();
         this.rejectedKeys.add(attempt.endpoint.key);
-        this.recorder.recordAttempt(attempt, "turned-away", this.lastEventId);
+        this.recorder.recordAttempt(attempt, "turned-away", this.lastEventId.get());
         if (hasRetry) {
             this.sendNext();
             return;
@@ -553,7 +566,7 @@
         if (!isEndpointLost) {
             this.options.tracker.recordBrokenAttempt(attempt.endpoint, attempt.sent);
         }
-        this.recorder.recordAttempt(attempt, reason, this.lastEventId);
+        this.recorder.recordAttempt(attempt, reason, this.lastEventId.get());
     }
 
     private isStream(attempt: RunningAttempt): boolean {
@@ -632,6 +645,7 @@
 
     private finish(status: number, cause: string, effect: () => void): void {
         this.isFinished = true;
+        this.lastEventId.close();
         this.deadlineTimer.stop();
         this.stopWaiting();
         this.stallTimer.stop();
--- a/packages/gateway/src/gateway.steps.ts
+++ b/packages/gateway/src/gateway.steps.ts
@@ -49,7 +49,7 @@
 let route: TrafficRoute;
 let candidates: ReplicaGroupCandidate[] = [];
 let choice: ReplicaGroupChoice;
-let events: (number | undefined)[] = [];
+let events: (string | undefined)[] = [];
 let rest = "";
 let age = 0;
 let budgets: SharedRetryBudget[] = [];
@@ -132,7 +132,7 @@
 });
 
 Then(/^the events are 1 and 2, and "(.*)" is incomplete$/, (expected: string) => {
-    deepStrictEqual(events, [1, 2]);
+    deepStrictEqual(events, ["1", "2"]);
     strictEqual(rest, expected.replaceAll("\\n", "\n"));
 });
 
--- a/packages/gateway/src/gatewayRole.ts
+++ b/packages/gateway/src/gatewayRole.ts
@@ -36,7 +36,7 @@
 import type { EvacuationChange } from "./evacuations.js";
 import { Forwarder } from "./forwarder.js";
 import { GatewayStop } from "./gatewayStop.js";
-import type { HttpHeaderCodec } from "./httpHeaderCodec.js";
+import { type HttpHeaderCodec, MAX_HEADER_BYTES } from "./httpHeaderCodec.js";
 import { type GatewayMetrics, registerGatewayMetrics } from "./metrics.js";
 import { PermitClient } from "./permitClient.js";
 import { QuarantineList } from "./quarantineList.js";
@@ -74,8 +74,6 @@
 
 const STALE_CHECK_MS = 5000;
 const DEMAND_INTERVAL_MS = 1000;
-/** Largest header block that is parsed, in bytes. */
-const MAX_HEADER_BYTES = 64 * 1024;
 /** Callers reuse idle connections up to the configured limit; the server keeps them open this much longer. */
 const IDLE_MARGIN_MS = 2000;
 
--- a/packages/gateway/src/httpHeaderCodec.ts
+++ b/packages/gateway/src/httpHeaderCodec.ts
@@ -1,5 +1,8 @@
 import type { HeaderField, NamedLimit } from "@kumquathall/types";
 
+/** Largest headers of a request that callers may send, in bytes. */
+export const MAX_HEADER_BYTES = 64 * 1024;
+
 /** Metadata decoded from the headers of a caller's request. */
 export interface RequestHead {
     requestId: string | undefined;
@@ -14,8 +17,8 @@
     maxAnswerTokens: number | undefined;
     /** The caller's estimate of the response's length. */
     answerTokensHint: number | undefined;
-    /** Last event that the caller received of a stream that it resumes. */
-    lastEventId: number | undefined;
+    /** Last event that the caller received of a stream that it resumes: decimal digits, as the caller wrote them. */
+    lastEventId: string | undefined;
 }
 
 /** Values of the headers that the gateway sets in a request to an endpoint. */
@@ -25,8 +28,8 @@
     account: string | undefined;
     /** 0 is served first; with `undefined` the endpoint decides. */
     priority: number | undefined;
-    /** The endpoint continues the stream after this event. */
-    lastEventId: number | undefined;
+    /** The endpoint continues the stream after this event; with `undefined` the caller's header is forwarded unchanged. */
+    lastEventId: string | undefined;
 }
 
 /** Metadata decoded from the headers of an endpoint's response. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,7 @@
 export { EndpointLimits, type EndpointLimitsOptions, type LimitResponse } from "./endpointLimits.js";
 export { EndpointTracker, type EndpointTrackerOptions, type TrackedEndpoint } from "./endpointTracker.js";
 export type { EvacuationChange } from "./evacuations.js";
+export { parseEventId } from "./eventId.js";
 export { EventStreamParser } from "./eventStreamParser.js";
 export { GatewayRole, type GatewaySettings } from "./gatewayRole.js";
 export { type ForwardHeaderValues, HttpHeaderCodec, type RequestHead, type ResponseHead } from "./httpHeaderCodec.js";
--- a/packages/gateway/src/requestRecorder.ts
+++ b/packages/gateway/src/requestRecorder.ts
@@ -2,6 +2,7 @@
 import type { SuspectRecord, TrafficAccount, TrafficRoute } from "@kumquathall/types";
 import type { EndpointChoice } from "./endpointChooser.js";
 import type { EndpointTracker } from "./endpointTracker.js";
+import { describeEventId } from "./eventId.js";
 import type { RequestHead } from "./httpHeaderCodec.js";
 import type { IncompleteCauseValue } from "./incompleteCause.js";
 import type { GatewayMetrics } from "./metrics.js";
@@ -95,7 +96,7 @@
         });
     }
 
-    recordAttempt(attempt: RunningAttempt, outcome: string, lastEventId: number | undefined): void {
+    recordAttempt(attempt: RunningAttempt, outcome: string, lastEventId: string | undefined): void {
         const { logger, head, service, metrics, tracker } = this.options;
         metrics.attempts.inc({ service, outcome: attempt.status === 0 ? "broken" : String(attempt.status) });
         const load = tracker.estimateLoad(attempt.endpoint);
@@ -109,7 +110,7 @@
             reportAgeMs: Math.round(performance.now() - attempt.endpoint.view.engineReportedAt),
             sinceSentMs: Math.round(performance.now() - attempt.sent.sentAt),
             silentMs: Math.round(performance.now() - attempt.lastDataAt),
-            lastEventId,
+            lastEventId: lastEventId === undefined ? undefined : describeEventId(lastEventId),
             parts: head.promptParts.length === 0 ? undefined : head.promptParts.join(),
         });
     }
--- a/packages/gateway/src/requestWork.steps.ts
+++ b/packages/gateway/src/requestWork.steps.ts
@@ -85,7 +85,7 @@
     (count: number, events: number, outcome: string) => {
         costs = new RequestCostEstimator();
         for (let at = 0; at < count; at++) {
-            sendWork(outcome === "streams that callers resumed" ? { lastEventId: 3 } : {});
+            sendWork(outcome === "streams that callers resumed" ? { lastEventId: "3" } : {});
             receiveEvents(events);
             work.recordEnd(endpoint, sent);
             if (outcome !== "broken streams") {
--- a/packages/gateway/src/testing/forwardingHarness.ts
+++ b/packages/gateway/src/testing/forwardingHarness.ts
@@ -31,6 +31,8 @@
     dataCentres?: string[];
     /** Retries that the gateway may send in a window, beyond the first. */
     retrySlack?: number;
+    /** Retries for each first attempt. */
+    retryRatio?: number;
     route?: Partial<TrafficRoute>;
     /** Makes the service one of engines; none of them heads a group. */
     engine?: EngineProfile;
@@ -113,7 +115,7 @@
             demand: this.demand,
             countGateways: () => 1,
             retrySlack: options.retrySlack ?? 0,
-            retryRatio: 0,
+            retryRatio: options.retryRatio ?? 0,
             retryWindowMs: 10_000,
         });
     }
--- a/packages/gateway/src/testing/plainHeaderCodec.ts
+++ b/packages/gateway/src/testing/plainHeaderCodec.ts
@@ -21,7 +21,7 @@
             promptParts: [],
             maxAnswerTokens: undefined,
             answerTokensHint: undefined,
-            lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
+            lastEventId,
         };
     }
 
@@ -29,7 +29,7 @@
         const id = headers.find(field => field.name === "request-id")?.value;
         return {
             ...(id === undefined ? {} : { "request-id": id }),
-            ...(values.lastEventId === undefined ? {} : { "resume-after": String(values.lastEventId) }),
+            ...(values.lastEventId === undefined ? {} : { "resume-after": values.lastEventId }),
         };
     }
 
