Refuse an operator's order that would undo a later one

Cause: an order says neither what it follows nor when it was sent, so the order of commits decided. Copies can wait in a frozen process's socket, in a process that freezes before it sends them on (LeaderCaller sent once more after its time), at a silent leader, and in the network. Drains counted as repeatable, which holds only if nothing else was committed in between. Nothing told a process that the caller had moved on.

Fix: the command carries the revision that it follows (`since`), and the state machine refuses it if its data centre has changed since. A process takes that revision only while the caller surely waits: its connection is open and was used within 0.9 s, and nothing read now can have waited here that long (StallWatch). Else an order is refused as late (503, `order-late` with its age), before it is sent to a leader, each time, and by the leader. On a connection that was idle, an order that would undo a change since then is sent back with 307, which only a waiting caller follows. A process that is behind, or two orders at once, still succeed: while the caller surely waits, the order is sent again with the newer revision.

--- a/packages/control-state/src/applyOperations.ts
+++ b/packages/control-state/src/applyOperations.ts
@@ -10,8 +10,32 @@
 import { formatDrainKey, formatQuarantineKey, formatSuspectKey } from "./lookup.js";
 import type { ControlState } from "./state.js";
 
-/** Starts or ends a drain. */
+/**
+ * Whether a drain or its end would undo a later one: its target has changed after the revision that the command names, or
+ * may have, since removed entries are forgotten up to the safe point.
+ */
+export function isDrainSuperseded(state: ControlState, { kind, target, name, since }: DrainCommand): boolean {
+    const { entries, safePoint } = state.configuration;
+    const entry = entries.get(formatDrainKey(target, name));
+    const isInForce = (entry?.value !== undefined) === (kind === "drain");
+    return since !== undefined && !isInForce && ((entry?.revision ?? 0) > since || safePoint > since);
+}
+
+/** Refuses a drain or its end that would undo a later one. */
+export function refuseSupersededDrain(state: ControlState, command: DrainCommand): ApplyResult {
+    const { target, name, since } = command;
+    const message =
+        `${target} "${name}" has been drained or undrained after revision ${since}, and the order may be older; `
+        + "send it again if it is still wanted";
+    const { revision } = state.configuration;
+    return { state, result: { kind: "refused", code: "superseded", message, revision } };
+}
+
+/** Starts or ends a drain, unless that would undo a later order. */
 export function applyDrain(state: ControlState, command: DrainCommand, options: ApplyOptions): ApplyResult {
+    if (isDrainSuperseded(state, command) && options.disabledGuard !== "orderSince") {
+        return refuseSupersededDrain(state, command);
+    }
     const key = formatDrainKey(command.target, command.name);
     const isInForce = state.configuration.entries.get(key)?.value !== undefined;
     const isStart = command.kind === "drain";
--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -1,5 +1,6 @@
 /** The replicated state of the control group, and the pure functions that apply commands to it. */
 export { applyCommand } from "./applyCommand.js";
+export { isDrainSuperseded, refuseSupersededDrain } from "./applyOperations.js";
 export type { ApplyOptions, ApplyResult } from "./applyResult.js";
 export { appendAuditRecord } from "./audit.js";
 export { isConfigurationCommand } from "./commandKind.js";
--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -14,6 +14,7 @@
 } from "@kumquathall/kernel";
 import { type Link, LinkDialer, LinkListener, parseAddress, type PeerIdentity } from "@kumquathall/link";
 import type { InputFaultLog } from "@kumquathall/logger";
+import { StallWatch } from "@kumquathall/peer-timers";
 import { LogStore, NodeDisk } from "@kumquathall/storage";
 import type {
     ColdFact,
@@ -43,6 +44,7 @@
 import { LimitTask } from "./limitTask.js";
 import { readMemberIdentity } from "./memberIdentity.js";
 import { registerControlMetrics } from "./metrics.js";
+import { MAX_ORDER_AGE_MS, type OperatorOrder } from "./operatorOrder.js";
 import { PublishRecorder } from "./publishRecorder.js";
 import { QuarantineTask } from "./quarantineTask.js";
 import { describeRecovery } from "./recoveryReport.js";
@@ -76,6 +78,7 @@
 /** One member of the control group. */
 export class ControlRole implements RunningRole {
     private readonly stateMachine = new ControlStateMachine();
+    private readonly stallWatch = new StallWatch();
     private readonly distributor: Distributor;
     private readonly identity: PeerIdentity;
     private readonly faults: InputFaultLog;
@@ -146,10 +149,21 @@
 
     /**
      * Orders or withdraws the evacuation of a data centre; resolves once that is committed, also if it changes nothing.
-     * Rejects with {@link UnknownDataCentreError}, and with {@link KumquathallError} if no leader confirms it.
+     * Rejects with {@link UnknownDataCentreError}, {@link LateOrderError} or {@link SupersededOrderError}, and with
+     * {@link KumquathallError} if no leader confirms it.
      */
-    setEvacuation(dataCentre: string, isEvacuated: boolean): Promise<void> {
-        return this.evacuationOrders.set(dataCentre, isEvacuated);
+    setEvacuation(dataCentre: string, isEvacuated: boolean, order: OperatorOrder): Promise<void> {
+        return this.evacuationOrders.set(dataCentre, isEvacuated, order);
+    }
+
+    /** Longest time that input which is read now may have waited at this process, in milliseconds. */
+    measureWaitMs(): number {
+        return this.stallWatch.measureWaitMs();
+    }
+
+    /** Revision of the newest configuration that this process has, committed for good. */
+    getConfigurationRevision(): number {
+        return this.stateMachine.getState().configuration.revision;
     }
 
     /** Records a fact about an endpoint and, if it is new, sends it to the other members. */
@@ -205,6 +219,7 @@
     }
 
     async close(): Promise<void> {
+        this.stallWatch.close();
         this.leaderTask.close();
         this.discovery?.close();
         this.endpointTask?.close();
@@ -271,7 +286,7 @@
             runtime: this.runtime,
             stateMachine: this.stateMachine,
             logger: context.logger,
-            callLeader: call => this.leaderCaller.call(call),
+            callLeader: (call, timeoutMs, canSend) => this.leaderCaller.call(call, timeoutMs, canSend),
             listDataCentres: () =>
                 settings.dataCentres
                     ?? [context.settings.dataCentre, ...this.endpointTask?.listDataCentres() ?? []],
@@ -502,7 +517,7 @@
             case "readConfiguration":
                 return this.distributor.read(call);
             case "propose":
-                return this.propose(call.command);
+                return this.isLateOrder(call.command) ? this.refuseLateOrder() : this.propose(call.command);
             case "query":
                 return this.answerQuery(call.query);
             case "presence":
@@ -535,6 +550,17 @@
         return this.limitTask?.grant(writer, usable) ?? this.buildRedirect();
     }
 
+    /** Whether an operator's order may have waited at this process for longer than its caller did at another. */
+    private isLateOrder(command: Command): boolean {
+        return (command.kind === "drain" || command.kind === "undrain") && this.measureWaitMs() > MAX_ORDER_AGE_MS;
+    }
+
+    private refuseLateOrder(): ControlAnswer {
+        const ageMs = Math.round(this.measureWaitMs());
+        this.context.logger.warn("order-late", { call: "propose", ageMs });
+        return { kind: "unavailable", message: `the order may have waited here for ${ageMs} ms; send it again` };
+    }
+
     private buildMembers(): ControlAnswer {
         const gateways = this.endpointTask?.countWatchers() ?? 0;
         return this.discovery?.buildMembersAnswer(gateways)
--- a/packages/control/src/evacuationOrders.ts
+++ b/packages/control/src/evacuationOrders.ts
@@ -1,5 +1,10 @@
 import type { ConsensusRuntime } from "@kumquathall/consensus";
-import { isDataCentreEvacuated, listEvacuatedDataCentres } from "@kumquathall/control-state";
+import {
+    isDataCentreEvacuated,
+    isDrainSuperseded,
+    listEvacuatedDataCentres,
+    refuseSupersededDrain,
+} from "@kumquathall/control-state";
 import { KumquathallError } from "@kumquathall/errors";
 import type { Logger } from "@kumquathall/logger";
 import {
@@ -11,6 +16,7 @@
     DrainKind,
 } from "@kumquathall/types";
 import type { ControlStateMachine } from "./controlStateMachine.js";
+import { type OperatorOrder, SupersededOrderError } from "./operatorOrder.js";
 
 /** No data centre of this name is known; the message lists the known ones. */
 export class UnknownDataCentreError extends KumquathallError {}
@@ -19,12 +25,14 @@
     runtime: ConsensusRuntime<Command, CommandResult>;
     stateMachine: ControlStateMachine;
     logger: Logger;
-    /** Calls the leader; rejects if none answers in time. */
-    callLeader: (call: ControlCall) => Promise<ControlAnswer>;
+    /** Calls the leader while `canSend` returns `true`; rejects if none answers in time. */
+    callLeader: (call: ControlCall, timeoutMs: number, canSend: () => boolean) => Promise<ControlAnswer>;
     /** Lists the data centres that can be evacuated. */
     listDataCentres: () => string[];
 }
 
+type OrderResult = Exclude<CommandResult, { kind: "ledger" }>;
+
 /** Recorded in the audit trail: control's HTTP server does not identify its callers. */
 const OPERATOR = "operator";
 
@@ -36,27 +44,49 @@
     constructor(private readonly options: EvacuationOrdersOptions) {}
 
     /**
-     * Resolves once the order is committed, also if it changes nothing. Rejects with {@link UnknownDataCentreError}, and
-     * with {@link KumquathallError} if no leader confirms it in time.
+     * Resolves once the order is committed, also if it changes nothing. Rejects with {@link UnknownDataCentreError}, with
+     * {@link LateOrderError} if the caller may have moved on, with {@link SupersededOrderError} if the order would undo a
+     * later one, and with {@link KumquathallError} if no leader confirms it in time.
      */
-    async set(dataCentre: string, isEvacuated: boolean): Promise<void> {
+    async set(dataCentre: string, isEvacuated: boolean, order: OperatorOrder): Promise<void> {
         this.checkDataCentre(dataCentre);
+        let since = order.since;
+        for (;;) {
+            order.check();
+            const result = await this.callLeader(dataCentre, isEvacuated, order, since);
+            if (result.kind === "accepted") {
+                this.options.logger.info("evacuation-accepted", { dataCentre, isEvacuated, revision: result.revision });
+                return;
+            }
+            if (result.revision === undefined || !order.isAwaited()) {
+                order.check();
+                throw new SupersededOrderError(result.message);
+            }
+            // The caller waits, so that the order is newer than the change: this process was behind, or they came together.
+            since = result.revision;
+        }
+    }
+
+    private async callLeader(
+        dataCentre: string,
+        isEvacuated: boolean,
+        order: OperatorOrder,
+        since: number,
+    ): Promise<OrderResult> {
         const command: DrainCommand = {
             kind: isEvacuated ? "drain" : "undrain",
             operator: OPERATOR,
             target: DrainKind.DataCentre,
             name: dataCentre,
             at: new Date().toISOString(),
+            since,
         };
-        const answer = await this.options.callLeader({ kind: "propose", command });
-        if (answer.kind !== "result" || answer.result.kind !== "accepted") {
+        const canSend = () => order.getTimeLeftMs() > 0;
+        const answer = await this.options.callLeader({ kind: "propose", command }, order.getTimeLeftMs(), canSend);
+        if (answer.kind !== "result" || answer.result.kind === "ledger") {
             throw new KumquathallError("the leader did not commit the order; send it again");
         }
-        this.options.logger.info("evacuation-accepted", {
-            dataCentre,
-            isEvacuated,
-            revision: answer.result.revision,
-        });
+        return answer.result;
     }
 
     /** Proposes a command at this member; an order that is resent and changes nothing costs no log entry. */
@@ -69,6 +99,10 @@
         if (repeated !== undefined) {
             return repeated;
         }
+        const state = this.options.stateMachine.getState();
+        if (isDrainSuperseded(state, command)) {
+            return refuseSupersededDrain(state, command).result;
+        }
         const { name } = command;
         this.underWay.set(name, (this.underWay.get(name) ?? 0) + 1);
         try {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,4 +1,5 @@
 /** The control role. Importing this package registers it with the kernel. */
+export { CallerContacts, type CallerContactsOptions } from "./callerContacts.js";
 export { ControlContacts, readContacts } from "./controlContacts.js";
 export { ControlPlugin } from "./controlPlugin.js";
 export { ControlRole, type ControlRoleOptions } from "./controlRole.js";
@@ -12,6 +13,13 @@
 export { type MemberIdentity, readFoundingIdentity } from "./memberIdentity.js";
 export { MembershipTask, type MembershipTaskOptions } from "./membershipTask.js";
 export { MemberSilence, type MemberSilenceOptions } from "./memberSilence.js";
+export {
+    LateOrderError,
+    MAX_ORDER_AGE_MS,
+    OperatorOrder,
+    type OperatorOrderOptions,
+    SupersededOrderError,
+} from "./operatorOrder.js";
 export { type MemberChange, type MembershipInput, type MembershipPlan, planMembership } from "./planMembership.js";
 export { decidePresence, type EntryReport, type PresenceInput, type PresenceOptions } from "./presence.js";
 export { PublishRecorder, type PublishRecorderOptions } from "./publishRecorder.js";
--- a/packages/control/src/leaderCaller.feature
+++ b/packages/control/src/leaderCaller.feature
@@ -29,6 +29,21 @@
         When an evacuation is ordered
         Then the order is answered by "m2" within 350 ms
 
+    # Guards against an order that a process sends when it goes on, after its caller has had it confirmed elsewhere.
+    Scenario: An order that could not be sent in time is not sent after a stall of this process
+        Given the members "m1" and "m2", of which "m1" leads and answers after 1 ms
+        And "m1" refuses calls
+        When an evacuation is ordered, and this process stands still for 3000 ms while "m1" accepts calls again
+        Then the order fails within 3100 ms
+        And "m1" got 1 calls and "m2" got 0 calls
+
+    # Guards against an order that is sent after its caller has closed the connection.
+    Scenario: An order is not sent again once its caller has gone
+        Given the members "m1" and "m2", of which "m1" leads and answers after 1 ms
+        And "m1" refuses calls
+        When an evacuation is ordered, and its caller goes after 100 ms
+        Then the order fails within 200 ms
+
     # Guards against a command that takes effect twice.
     Scenario: A command that has another effect the second time is not sent to a second member
         Given the members "m1" and "m2", of which "m1" leads and is silent
--- a/packages/control/src/leaderCaller.steps.ts
+++ b/packages/control/src/leaderCaller.steps.ts
@@ -21,6 +21,7 @@
 class Member {
     calls = 0;
     answerMs = 1;
+    isRefusing = false;
     readonly link = {
         call: (_message: unknown, timeoutMs = 0): Promise<ControlAnswer> => {
             this.calls++;
@@ -28,7 +29,10 @@
                 setTimeout(() => reject(new Error("no answer")), timeoutMs);
                 if (Number.isFinite(this.answerMs)) {
                     const result = { kind: "accepted" as const, revision: Number(this.id.slice(1)) };
-                    setTimeout(() => resolve({ kind: "result", result }), this.answerMs);
+                    const answer: ControlAnswer = this.isRefusing
+                        ? { kind: "notLeader", leader: undefined }
+                        : { kind: "result", result };
+                    setTimeout(() => resolve(answer), this.answerMs);
                 }
             });
         },
@@ -70,22 +74,46 @@
     getMember(id).answerMs = Number.POSITIVE_INFINITY;
 });
 
+Given("{string} refuses calls", (id: string) => {
+    getMember(id).isRefusing = true;
+});
+
+function callLeader(command: Command, canSend?: () => boolean): void {
+    const caller = new LeaderCaller({
+        id: "m0",
+        runtime: { getState: () => ({ leaderId }) } as unknown as LeaderCallerOptions["runtime"],
+        logger: createLogger({ write: () => undefined }),
+        answerLocally: () => Promise.reject(new Error("this member does not lead")),
+        getLeaderLink: id => getMember(id).link,
+        listLinks: () => [...members.values()].map(member => member.link),
+    });
+    const finish = (answer?: ControlAnswer) => {
+        outcome = { answer, durationMs: performance.now() };
+    };
+    caller.call({ kind: "propose", command }, undefined, canSend).then(finish, () => finish());
+}
+
+When(
+    "an evacuation is ordered, and this process stands still for {int} ms while {string} accepts calls again",
+    async (ms: number, id: string) => {
+        callLeader(EVACUATION);
+        // The refusal has been read, and the next attempt is due.
+        await clock.tickAsync(5);
+        getMember(id).isRefusing = false;
+        clock.jump(ms);
+        await clock.tickAsync(100);
+    },
+);
+
+When("an evacuation is ordered, and its caller goes after {int} ms", async (ms: number) => {
+    callLeader(EVACUATION, () => performance.now() < ms);
+    await clock.tickAsync(2000);
+});
+
 When(
     /^(an evacuation is ordered|an idempotency key is claimed)(?:, and "(.+)" leads after (\d+) ms)?$/,
     async (what: string, next: string | null, afterMs: string | null) => {
-        const caller = new LeaderCaller({
-            id: "m0",
-            runtime: { getState: () => ({ leaderId }) } as unknown as LeaderCallerOptions["runtime"],
-            logger: createLogger({ write: () => undefined }),
-            answerLocally: () => Promise.reject(new Error("this member does not lead")),
-            getLeaderLink: id => getMember(id).link,
-            listLinks: () => [...members.values()].map(member => member.link),
-        });
-        const finish = (answer?: ControlAnswer) => {
-            outcome = { answer, durationMs: performance.now() };
-        };
-        const command = what === "an evacuation is ordered" ? EVACUATION : CLAIM;
-        caller.call({ kind: "propose", command }).then(finish, () => finish());
+        callLeader(what === "an evacuation is ordered" ? EVACUATION : CLAIM);
         if (next !== null) {
             setTimeout(() => leaderId = next, Number(afterMs));
         }
--- a/packages/control/src/leaderCaller.ts
+++ b/packages/control/src/leaderCaller.ts
@@ -37,27 +37,41 @@
 
     /**
      * Retries until a leader handles the call. If repeating the call is safe, a member that stays silent is waited for only
-     * in part of the time, and its answer still counts after that. Rejects with {@link KumquathallError} if no leader
-     * answers in time.
+     * in part of the time, and its answer still counts after that. Nothing is sent after the time, which a stall of this
+     * process may use up, or once `canSend` returns `false`. Rejects with {@link KumquathallError} if no leader answers in
+     * time.
      */
-    async call(call: ControlCall, timeoutMs: number = LEADER_CALL_TIMEOUT_MS): Promise<ControlAnswer> {
+    async call(
+        call: ControlCall,
+        timeoutMs: number = LEADER_CALL_TIMEOUT_MS,
+        canSend: () => boolean = () => true,
+    ): Promise<ControlAnswer> {
         const endsAt = performance.now() + timeoutMs;
         const tries = new CallTries(this.options.logger, call.kind);
+        const isSendable = () => performance.now() < endsAt && canSend();
         for (;;) {
-            const answer = await this.callOnce(call, tries, endsAt);
+            const answer = await this.callOnce(call, tries, endsAt, isSendable);
             if (answer !== undefined) {
                 return answer;
             }
-            if (performance.now() + RETRY_PAUSE_MS >= endsAt) {
+            if (performance.now() + RETRY_PAUSE_MS >= endsAt || !canSend()) {
                 throw new KumquathallError("no leader confirmed the call in time; send it again");
             }
             await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
         }
     }
 
-    private async callOnce(call: ControlCall, tries: CallTries, endsAt: number): Promise<ControlAnswer | undefined> {
+    private async callOnce(
+        call: ControlCall,
+        tries: CallTries,
+        endsAt: number,
+        isSendable: () => boolean,
+    ): Promise<ControlAnswer | undefined> {
         const targets = this.listTargets(call);
         for (const [at, target] of targets.entries()) {
+            if (!isSendable()) {
+                break;
+            }
             const leftMs = Math.max(1, endsAt - performance.now());
             const waitMs = isRepeatable(call) ? Math.min(TRY_MS, leftMs / (targets.length - at)) : leftMs;
             const answer = await tries.wait(target, leftMs, waitMs);
@@ -143,7 +157,10 @@
     }
 }
 
-/** Commands that change nothing the second time. */
+/**
+ * Commands of which a second copy changes nothing, also after later ones: they carry the version or revision that they
+ * follow.
+ */
 const REPEATABLE_COMMANDS = new Set<Command["kind"]>(["drain", "undrain", "publishTraffic", "changeTraffic"]);
 
 /** Waits until one of the promises has settled, at most `ms`. */
--- a/packages/matrix/src/evacuationOrders.feature
+++ b/packages/matrix/src/evacuationOrders.feature
@@ -65,3 +65,53 @@
         And the evacuation of "a" is withdrawn at the leader
         Then 2 orders were acknowledged and 1 failed with "known are a, b, c"
         And at every member "" is evacuated
+
+    # Guards against a copy of an order that undoes a newer one: its caller had it confirmed by another process (review/11).
+    Scenario Outline: An order that is held up on its way to the leader does not undo a later, opposite one
+        Given <before>
+        When calls between members are held up
+        And <old> at a follower, without waiting
+        And the callers move on
+        And <old> at the leader
+        And <new> at the leader
+        And the calls arrive
+        Then at every member "<evacuated>" is evacuated
+        And 1 call has arrived after its sender gave up
+
+        Examples:
+            | before                          | old                                   | new                                   | evacuated |
+            | "a" is evacuated at the leader  | the evacuation of "a" is withdrawn    | "a" is evacuated                      | a         |
+            | "b" is evacuated at the leader  | "a" is evacuated                      | the evacuation of "a" is withdrawn    | b         |
+
+    # Guards against copies of an order at several members, of which one takes effect after a newer order.
+    Scenario: A copy that a silent leader holds has no effect once another leader has confirmed later orders
+        When "a" is evacuated at a follower
+        And the leader is silent
+        And the evacuation of "a" is withdrawn at that follower, without waiting
+        And another member leads
+        And the evacuation of "a" is withdrawn at the new leader
+        And "a" is evacuated at the new leader
+        And the former leader goes on
+        Then at every member "a" is evacuated
+
+    # Guards against orders that a process carries out when it wakes, long after their caller had them confirmed elsewhere.
+    Scenario Outline: An order that waited at a member that stood still has no effect
+        Given <before>
+        When <old> at the leader
+        And <new> at the leader
+        And <old> at a follower that has stood still for 1050 ms
+        Then 3 orders were acknowledged and 1 failed with "it may have waited here for 1050 ms"
+        And at every member "<evacuated>" is evacuated
+
+        Examples:
+            | before                          | old                                   | new                                   | evacuated |
+            | "a" is evacuated at the leader  | the evacuation of "a" is withdrawn    | "a" is evacuated                      | a         |
+            | "b" is evacuated at the leader  | "a" is evacuated                      | the evacuation of "a" is withdrawn    | b         |
+
+    # Guards against refusals of sound orders: a member that lags has seen none of the changes that its order follows.
+    Scenario: An order on an idle connection is sent back once if the data centre has changed, and then confirmed
+        When the evacuation of "a" is withdrawn on an idle connection that was last used before "a" was evacuated
+        Then 1 order was acknowledged and 1 failed with "send it again if it is still wanted"
+        And at every member "a" is evacuated
+        When the evacuation of "a" is withdrawn at the leader
+        Then at every member "" is evacuated
--- a/packages/matrix/src/evacuationOrders.steps.ts
+++ b/packages/matrix/src/evacuationOrders.steps.ts
@@ -1,6 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { getLastIndex } from "@kumquathall/consensus";
-import { type ControlStateMachine, EvacuationOrders, LeaderCaller } from "@kumquathall/control";
+import { CallerContacts, type ControlStateMachine, EvacuationOrders, LeaderCaller } from "@kumquathall/control";
 import { listEvacuatedDataCentres } from "@kumquathall/control-state";
 import { createLogger } from "@kumquathall/logger";
 import type { ControlAnswer, ControlCall } from "@kumquathall/types";
@@ -15,6 +15,8 @@
 const ELECTION_MS = 8000;
 const SETTLE_MS = 2500;
 const STEP_MS = 20;
+/** Time for which callers wait for a response. */
+const CALLER_MS = 1000;
 
 type Runtime = NonNullable<GroupMember["runtime"]>;
 
@@ -34,6 +36,12 @@
 const ordersByProcess = new WeakMap<Runtime, EvacuationOrders>();
 /** Index of the newest log entry before the first order. */
 let firstIndex = 0;
+/** Members to which calls of others are held up, and the calls that wait. */
+const heldUp = new Set<string>();
+let waiting: (() => void)[] = [];
+/** Calls that were held up for longer than their sender waited. */
+let lateCalls = 0;
+let formerLeader = "";
 
 After({ tags: "@evacuation-orders" }, () => {
     group?.close();
@@ -91,7 +99,7 @@
         runtime,
         stateMachine,
         logger,
-        callLeader: call => caller.call(call),
+        callLeader: (call, timeoutMs, canSend) => caller.call(call, timeoutMs, canSend),
         listDataCentres: () => known,
     });
 }
@@ -108,22 +116,54 @@
     );
 }
 
+/** Delivers a call to a member once that is not held up. */
+async function deliver(id: string, message: unknown, timeoutMs: number): Promise<ControlAnswer> {
+    const sentAt = performance.now();
+    if (heldUp.has(id)) {
+        await new Promise<void>(resolve => waiting.push(resolve));
+        lateCalls += performance.now() - sentAt > timeoutMs ? 1 : 0;
+    }
+    return answer(id, structuredClone(message) as ControlCall);
+}
+
 function buildLink(id: string) {
     return {
         call: (message: unknown, timeoutMs = 0) =>
             Promise.race([
-                answer(id, structuredClone(message) as ControlCall),
+                deliver(id, message, timeoutMs),
                 new Promise((_resolve, reject) => setTimeout(() => reject(new Error("no answer")), timeoutMs)),
             ]),
     };
 }
 
-function order(id: string, name: string, isEvacuated: boolean): Promise<void> {
+interface OrderPlan {
+    id: string;
+    name: string;
+    isEvacuated: boolean;
+    /** Time for which the member has stood still, in milliseconds. */
+    waitMs?: number;
+    /** Called between the last response on the caller's connection and the order. */
+    idle?: () => Promise<void>;
+}
+
+async function order({ id, name, isEvacuated, waitMs = 0, idle }: OrderPlan): Promise<void> {
     const startedAt = performance.now();
     const finish = (error?: string) => {
         outcomes.push({ error, durationMs: performance.now() - startedAt });
     };
-    return getOrders(id).set(name, isEvacuated).then(() => finish(), error => finish(String(error)));
+    const { stateMachine } = getGroup().getMember(id);
+    ok(stateMachine !== undefined);
+    const contacts = new CallerContacts({
+        measureWaitMs: () => waitMs,
+        getRevision: () => stateMachine.getState().configuration.revision,
+    });
+    const connection = {};
+    contacts.recordOpen(connection);
+    await idle?.();
+    return getOrders(id).set(name, isEvacuated, contacts.buildOrder(connection, () => true)).then(
+        () => finish(),
+        error => finish(String(error)),
+    );
 }
 
 Given("a control group of 3 members that knows the data centres {string}, {string} and {string}", TIMEOUT, async (
@@ -134,6 +174,9 @@
     clock = install({ toFake: FAKED_TIMERS });
     known = [first, second, third];
     outcomes = [];
+    heldUp.clear();
+    waiting = [];
+    lateCalls = 0;
     group = new ControlGroup({ random: createRandom(SEED) });
     await group.start();
     const leader = await findLeader();
@@ -145,14 +188,14 @@
     if (place === "that follower") {
         return follower;
     }
-    return place === "the leader" ? findLeader() : findFollower();
+    return place === "a follower" ? findFollower() : findLeader();
 }
 
 When(
-    /^(the evacuation of )?"(.)" is (?:evacuated|withdrawn) at (a follower|that follower|the leader)(, without waiting)?$/,
+    /^(the evacuation of )?"(.)" is (?:evacuated|withdrawn) at (a follower|that follower|the (?:new )?leader)(, without waiting)?$/,
     TIMEOUT,
     async (withdrawal: string | null, name: string, place: string, isAsync: string | null) => {
-        const ordered = order(await chooseMember(place), name, withdrawal === null);
+        const ordered = order({ id: await chooseMember(place), name, isEvacuated: withdrawal === null });
         if (isAsync === null) {
             await clock?.tickAsync(SETTLE_MS);
             await ordered;
@@ -165,13 +208,81 @@
     TIMEOUT,
     async (withdrawal: string | null, name: string, times: string) => {
         const ordered = listMembers().flatMap(member =>
-            Array.from({ length: Number(times) }, () => order(member.id, name, withdrawal === null))
+            Array.from(
+                { length: Number(times) },
+                () => order({ id: member.id, name, isEvacuated: withdrawal === null }),
+            )
         );
         await clock?.tickAsync(SETTLE_MS);
         await Promise.all(ordered);
     },
 );
 
+When(
+    /^(the evacuation of )?"(.)" is (?:evacuated|withdrawn) at a follower that has stood still for (\d+) ms$/,
+    TIMEOUT,
+    async (withdrawal: string | null, name: string, ms: string) => {
+        const id = await findFollower();
+        await order({ id, name, isEvacuated: withdrawal === null, waitMs: Number(ms) });
+    },
+);
+
+When(
+    /^(the evacuation of )?"(.)" is (?:evacuated|withdrawn) on an idle connection that was last used before "." was evacuated$/,
+    TIMEOUT,
+    async (withdrawal: string | null, name: string) => {
+        const id = await findLeader();
+        const ordered = order({
+            id,
+            name,
+            isEvacuated: withdrawal === null,
+            idle: async () => {
+                await order({ id, name, isEvacuated: withdrawal !== null });
+                await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+            },
+        });
+        await clock?.tickAsync(2 * SETTLE_MS);
+        await ordered;
+    },
+);
+
+When("calls between members are held up", async () => {
+    heldUp.add(await findLeader());
+});
+
+When("the callers move on", () => clock?.tickAsync(CALLER_MS));
+
+When("the calls arrive", async () => {
+    heldUp.clear();
+    waiting.forEach(resume => resume());
+    waiting = [];
+    await clock?.tickAsync(SETTLE_MS);
+});
+
+When("the leader is silent", async () => {
+    formerLeader = await findLeader();
+    heldUp.add(formerLeader);
+    getGroup().rule = (from, to) => from === formerLeader || to === formerLeader ? [] : [1];
+});
+
+When("another member leads", TIMEOUT, async () => {
+    const isNew = () => getGroup().findLeader()?.id !== undefined && getGroup().findLeader()?.id !== formerLeader;
+    while (!isNew()) {
+        await clock?.tickAsync(STEP_MS);
+    }
+    await clock?.tickAsync(CALLER_MS);
+});
+
+When("the former leader goes on", async () => {
+    heldUp.clear();
+    waiting.forEach(resume => resume());
+    waiting = [];
+    getGroup().rule = () => [1];
+    await clock?.tickAsync(SETTLE_MS);
+});
+
+Then("{int} call(s) has/have arrived after its/their sender gave up", (count: number) => strictEqual(lateCalls, count));
+
 When("the leader's process ends", async () => {
     getGroup().kill(await findLeader(), 0);
     await findLeader();
--- a/packages/peer-timers/src/index.ts
+++ b/packages/peer-timers/src/index.ts
@@ -1,2 +1,3 @@
 /** Timers for what a peer must send in time. */
 export { PeerTimer, type PeerTimerOptions } from "./peerTimer.js";
+export { StallWatch } from "./stallWatch.js";
--- a/packages/types/src/command.ts
+++ b/packages/types/src/command.ts
@@ -88,6 +88,11 @@
     target: DrainKindValue;
     name: string;
     at: string;
+    /**
+     * Revision of the configuration when the operator had not sent the order yet, or waited for it. The order is refused if
+     * it would undo a later one. Absent in commands of earlier builds, which always take effect.
+     */
+    since?: number;
 }
 
 /** Claims an idempotency key before an agent runs a non-idempotent request. */
@@ -236,8 +241,10 @@
     | { kind: "accepted"; revision: number }
     | {
         kind: "refused";
-        code: "version-conflict" | "invalid-change" | "not-found" | "stale";
+        code: "version-conflict" | "invalid-change" | "not-found" | "stale" | "superseded";
         message: string;
+        /** Revision of the configuration by which a superseded order was refused. */
+        revision?: number;
         winner?: ServiceDefinition;
     }
     | { kind: "ledger"; ledger: LedgerResult };
--- a/tools/test.mjs
+++ b/tools/test.mjs
@@ -33,7 +33,7 @@
 }
 
 const wanted = process.argv[2] ?? "";
-const realTime = "@whole-path or @platform-path or @endpoint-pool or @control-directory or @engine-http or @quarantine or @endpoint-limit-path or @endpoint-notice-path or @evacuation-path or @added-controls or @link or @agent-endless-answer";
+const realTime = "@whole-path or @platform-path or @endpoint-pool or @control-directory or @engine-http or @quarantine or @endpoint-limit-path or @endpoint-notice-path or @evacuation-path or @late-orders or @added-controls or @link or @agent-endless-answer";
 const groups = wanted === "" ? [realTime, `not (${realTime})`] : [wanted];
 const results = groups.map(group => runScenarios([`(${group})`, ...knownRed.map(tag => `not ${tag}`)].join(" and ")));
 if (knownRed.length > 0) {
