Refuse a departure that may have been sent by an earlier start

What callers would see: an endpoint whose departure waits in a frozen control process, or in the network, and that starts again under its id, gets no requests until its next start.

Cause: a departure names no incarnation, and the process that reads it took the newest at that time.

Fix: it counts only for an incarnation that had started before the caller's connection was last known to carry nothing, less the time for which input may have waited here. Otherwise 503 and the log line departure-late. Members that record it for a process beside the group do the same.

Evidence: lateOrders.feature, "A departure that may have been sent before its endpoint started again has no effect", fails without the condition (the other 3 scenarios pass) and passes with it.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -44,7 +44,7 @@
 import { LimitTask } from "./limitTask.js";
 import { readMemberIdentity } from "./memberIdentity.js";
 import { registerControlMetrics } from "./metrics.js";
-import { MAX_ORDER_AGE_MS, type OperatorOrder } from "./operatorOrder.js";
+import { LateOrderError, MAX_ORDER_AGE_MS, type OperatorOrder } from "./operatorOrder.js";
 import { PublishRecorder } from "./publishRecorder.js";
 import { QuarantineTask } from "./quarantineTask.js";
 import { describeRecovery } from "./recoveryReport.js";
@@ -192,14 +192,16 @@
     }
 
     /**
-     * Records that the newest incarnation of an endpoint leaves; `false` if ids are too many. A process that is no member has
-     * it recorded by one, since it may know an earlier incarnation only. Rejects with {@link KumquathallError} if no member does.
+     * Records that the newest incarnation of an endpoint leaves, which has said so within the last `contactMs` milliseconds;
+     * `false` if ids are too many. A process that is no member has it recorded by one, since it may know an earlier incarnation
+     * only. Rejects with {@link LateOrderError} if the incarnation has started since, and with {@link KumquathallError} if no
+     * member records it.
      */
-    async recordDeparture(id: string): Promise<boolean> {
+    async recordDeparture(id: string, contactMs: number): Promise<boolean> {
         if (this.discovery === undefined || this.discovery.isMember()) {
-            return this.recordOwnDeparture(id) !== undefined;
+            return this.recordOwnDeparture(id, contactMs) !== undefined;
         }
-        const answer = await this.discovery.callMembers({ kind: "depart", id }, "departed");
+        const answer = await this.discovery.callMembers({ kind: "depart", id, contactMs }, "departed");
         if (answer === undefined) {
             throw new KumquathallError("no control member has confirmed the departure; send it again");
         }
@@ -501,7 +503,7 @@
             case "depart":
                 return this.discovery?.isMember() === false
                     ? this.buildRedirect()
-                    : { kind: "departed", bornMs: this.recordOwnDeparture(call.id) };
+                    : this.answerDeparture(call.id, call.contactMs ?? 0);
             case "readTraffic":
                 return this.answerRead();
             case "watchEndpoints":
@@ -527,9 +529,26 @@
         }
     }
 
-    /** Returns the start of the incarnation that leaves, in Unix milliseconds; `undefined` if ids are too many. */
-    private recordOwnDeparture(id: string): number | undefined {
-        const bornMs = this.endpointTask?.getBornMs(id) || Date.now();
+    private answerDeparture(id: string, contactMs: number): ControlAnswer {
+        return { kind: "departed", bornMs: this.recordOwnDeparture(id, contactMs + this.measureWaitMs()) };
+    }
+
+    /**
+     * Returns the start of the incarnation that leaves, in Unix milliseconds; `undefined` if ids are too many. A departure
+     * names no incarnation, so that it counts for one that had started before it can have been sent.
+     */
+    private recordOwnDeparture(id: string, contactMs: number): number | undefined {
+        const now = Date.now();
+        const knownMs = this.endpointTask?.getBornMs(id) ?? 0;
+        // A start in the future shows a clock that is ahead, by which nothing can be told.
+        if (knownMs > now - contactMs && knownMs <= now) {
+            this.context.logger.warn("departure-late", { endpoint: id, ageMs: Math.round(contactMs) });
+            throw new LateOrderError(
+                `the departure has no effect: ${id} has started since the departure may have been sent; send it again on a `
+                    + "new connection if it leaves now",
+            );
+        }
+        const bornMs = knownMs || now;
         const fact: EndpointFact = { kind: "departure", id, bornMs };
         if (!this.admitEndpoint(fact)) {
             return undefined;
--- a/packages/control/src/operatorOrder.ts
+++ b/packages/control/src/operatorOrder.ts
@@ -44,6 +44,11 @@
         return this.options.waitedMs + performance.now() - this.readAt;
     }
 
+    /** Longest time since the order was sent, in milliseconds. */
+    getContactMs(): number {
+        return this.options.contactMs + performance.now() - this.readAt;
+    }
+
     /** Time for which the order may still be sent to a leader, in milliseconds; 0 once its caller may have moved on. */
     getTimeLeftMs(): number {
         return this.options.isOpen() ? Math.max(0, MAX_ORDER_AGE_MS - this.getAgeMs()) : 0;
@@ -51,8 +56,7 @@
 
     /** Whether the caller surely waits, so that the order comes after all that is committed now. */
     isAwaited(): boolean {
-        const contactMs = this.options.contactMs + performance.now() - this.readAt;
-        return contactMs <= MAX_ORDER_AGE_MS && this.getTimeLeftMs() > 0;
+        return this.getContactMs() <= MAX_ORDER_AGE_MS && this.getTimeLeftMs() > 0;
     }
 
     /** Throws {@link LateOrderError} if the caller may have moved on. */
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -40,8 +40,11 @@
     /** Asks for membership in the control group. Like `members`, it is answered with the current members. */
     | { kind: "join"; member: string }
     | { kind: "members" }
-    /** Tells a member that the newest incarnation of an endpoint leaves; only members know which that is. */
-    | { kind: "depart"; id: string }
+    /**
+     * Tells a member that the newest incarnation of an endpoint leaves; only members know which that is. The endpoint has said
+     * so within the last `contactMs` milliseconds.
+     */
+    | { kind: "depart"; id: string; contactMs?: number }
     /** Reads the traffic configuration from the leader, confirmed by a majority. */
     | { kind: "readTraffic" }
     /** Asks for all current facts about endpoints and subscribes to later ones. */
