Explore orders of an operator that processes and the network hold up

The model (npm run model -- 'orders of an operator') drives the product's OperatorOrder and applyDrain: an operator gives opposite orders in turn and sends each to another process after a second; processes freeze before and after they have read an order, and the network and the links hold copies for any time. It holds: the last order is in force once it is confirmed, and no process sends on an order that it has held for longer than its caller waits. 553,741 states, exhaustive to depth 29, with 2 processes, 3 orders, 4 sends and 1 freeze.

The mutants are caught: orderSince (the state machine ignores the revision) after 14 transitions, orderAge (the waiting time counts as 0) after 7, orderContact (an idle connection counts as new) after 15.

Not in the model: connections that the network holds up with everything on them, which docs/ARCHITECTURE.md names as not covered.

--- a/packages/model/src/checks.ts
+++ b/packages/model/src/checks.ts
@@ -5,6 +5,7 @@
 import { GroupsSpecification } from "./specifications/groups.js";
 import { LedgerSpecification } from "./specifications/ledger.js";
 import { MembershipSpecification } from "./specifications/membership.js";
+import { OperatorOrdersSpecification } from "./specifications/operatorOrders.js";
 import { PublishSpecification } from "./specifications/publish.js";
 
 /** One exploration, of a specification with all guards or of a mutant in which it must find a violation. */
@@ -219,6 +220,17 @@
     >;
 }
 
+function buildOperatorOrders(disabledGuard?: string): Specification<unknown> {
+    return new OperatorOrdersSpecification({
+        name: "orders of an operator",
+        disabledGuard,
+        processes: 2,
+        orders: 3,
+        sends: 4,
+        freezes: 1,
+    }) as Specification<unknown>;
+}
+
 interface Exploration {
     build: (disabledGuard?: string) => Specification<unknown>;
     options: ExploreOptions;
@@ -281,6 +293,11 @@
         options: { maxDepth: 20, maxStates: 400_000 },
         mutants: ["publishCompareAndSet", "changeIdAnswer"],
     },
+    {
+        build: buildOperatorOrders,
+        options: { maxDepth: 60, maxStates: 600_000 },
+        mutants: ["orderSince", "orderAge", "orderContact"],
+    },
 ];
 
 /** Lists all checks: each specification with all guards, then with each of its guards disabled. */
