Rename what bounds the age of an order

CallerContacts becomes CallerActivity, its times idle times, and getAgeMs getWaitMs: a contact is a control process in the glossary, and an order has two ages (how long it may have waited here, and since it was sent). No change of behaviour; the mutant orderContact is orderIdle now.

--- a/packages/control/src/controlRole.ts
+++ b/packages/control/src/controlRole.ts
@@ -192,16 +192,16 @@
     }
 
     /**
-     * Records that the newest incarnation of an endpoint leaves, which has said so within the last `contactMs` milliseconds;
+     * Records that the newest incarnation of an endpoint leaves, which has said so within the last `ageMs` milliseconds;
      * `false` if ids are too many. A process that is no member has it recorded by one, since it may know an earlier incarnation
      * only. Rejects with {@link LateOrderError} if the incarnation has started since, and with {@link KumquathallError} if no
      * member records it.
      */
-    async recordDeparture(id: string, contactMs: number): Promise<boolean> {
+    async recordDeparture(id: string, ageMs: number): Promise<boolean> {
         if (this.discovery === undefined || this.discovery.isMember()) {
-            return this.recordOwnDeparture(id, contactMs) !== undefined;
+            return this.recordOwnDeparture(id, ageMs) !== undefined;
         }
-        const answer = await this.discovery.callMembers({ kind: "depart", id, contactMs }, "departed");
+        const answer = await this.discovery.callMembers({ kind: "depart", id, ageMs }, "departed");
         if (answer === undefined) {
             throw new KumquathallError("no control member has confirmed the departure; send it again");
         }
@@ -503,7 +503,7 @@
             case "depart":
                 return this.discovery?.isMember() === false
                     ? this.buildRedirect()
-                    : this.answerDeparture(call.id, call.contactMs ?? 0);
+                    : this.answerDeparture(call.id, call.ageMs ?? 0);
             case "readTraffic":
                 return this.answerRead();
             case "watchEndpoints":
@@ -529,20 +529,20 @@
         }
     }
 
-    private answerDeparture(id: string, contactMs: number): ControlAnswer {
-        return { kind: "departed", bornMs: this.recordOwnDeparture(id, contactMs + this.measureWaitMs()) };
+    private answerDeparture(id: string, ageMs: number): ControlAnswer {
+        return { kind: "departed", bornMs: this.recordOwnDeparture(id, ageMs + this.measureWaitMs()) };
     }
 
     /**
      * Returns the start of the incarnation that leaves, in Unix milliseconds; `undefined` if ids are too many. A departure
      * names no incarnation, so that it counts for one that had started before it can have been sent.
      */
-    private recordOwnDeparture(id: string, contactMs: number): number | undefined {
+    private recordOwnDeparture(id: string, ageMs: number): number | undefined {
         const now = Date.now();
         const knownMs = this.endpointTask?.getBornMs(id) ?? 0;
         // A start in the future shows a clock that is ahead, by which nothing can be told.
-        if (knownMs > now - contactMs && knownMs <= now) {
-            this.context.logger.warn("departure-late", { endpoint: id, ageMs: Math.round(contactMs) });
+        if (knownMs > now - ageMs && knownMs <= now) {
+            this.context.logger.warn("departure-late", { endpoint: id, ageMs: Math.round(ageMs) });
             throw new LateOrderError(
                 `the departure has no effect: ${id} has started since the departure may have been sent; send it again on a `
                     + "new connection if it leaves now",
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,5 +1,5 @@
 /** The control role. Importing this package registers it with the kernel. */
-export { CallerContacts, type CallerContactsOptions } from "./callerContacts.js";
+export { CallerActivity, type CallerActivityOptions } from "./callerActivity.js";
 export { ControlContacts, readContacts } from "./controlContacts.js";
 export { ControlPlugin } from "./controlPlugin.js";
 export { ControlRole, type ControlRoleOptions } from "./controlRole.js";
--- a/packages/control/src/operatorOrder.steps.ts
+++ b/packages/control/src/operatorOrder.steps.ts
@@ -1,11 +1,11 @@
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import { type Clock, install } from "@sinonjs/fake-timers";
 import { ok, strictEqual, throws } from "node:assert";
-import { CallerContacts } from "./callerContacts.js";
+import { CallerActivity } from "./callerActivity.js";
 import { LateOrderError, type OperatorOrder } from "./operatorOrder.js";
 
 let clock: Clock;
-let contacts: CallerContacts;
+let activity: CallerActivity;
 let connection: object;
 let order: OperatorOrder;
 let revision = 0;
@@ -20,11 +20,11 @@
 
 function connect(): void {
     connection = {};
-    contacts.recordOpen(connection);
+    activity.recordOpen(connection);
 }
 
 function sendOrder(): void {
-    order = contacts.buildOrder(connection, () => isOpen);
+    order = activity.buildOrder(connection, () => isOpen);
 }
 
 function checkRefused(text: string): void {
@@ -36,7 +36,7 @@
     revision = value;
     waitMs = 0;
     isOpen = true;
-    contacts = new CallerContacts({ measureWaitMs: () => waitMs, getRevision: () => revision });
+    activity = new CallerActivity({ measureWaitMs: () => waitMs, getRevision: () => revision });
 });
 
 When("the process stands still for {int} ms", (ms: number) => {
@@ -60,7 +60,7 @@
     sendOrder();
 });
 
-When("it has a response", () => contacts.recordResponse(connection));
+When("it has a response", () => activity.recordResponse(connection));
 
 When("it closes the connection", () => {
     isOpen = false;
--- a/packages/control/src/operatorOrder.ts
+++ b/packages/control/src/operatorOrder.ts
@@ -16,9 +16,9 @@
     /** Longest time for which the order may have waited at this process before it was read, in milliseconds. */
     waitedMs: number;
     /** Time since the caller's connection was accepted or last carried a response, in milliseconds: the order is no older. */
-    contactMs: number;
+    idleMs: number;
     /** Revision of the configuration that this process had at that time. */
-    contactRevision: number;
+    idleRevision: number;
     /** Revision of the configuration that this process has now. */
     revision: number;
     /** Whether the caller's connection is open. */
@@ -36,27 +36,27 @@
 
     constructor(private readonly options: OperatorOrderOptions) {
         // On a connection that has been idle, the order may have been sent at any time since.
-        this.since = options.contactMs <= MAX_ORDER_AGE_MS ? options.revision : options.contactRevision;
+        this.since = options.idleMs <= MAX_ORDER_AGE_MS ? options.revision : options.idleRevision;
     }
 
     /** Longest time for which the order may have waited at this process, in milliseconds. */
-    getAgeMs(): number {
+    getWaitMs(): number {
         return this.options.waitedMs + performance.now() - this.readAt;
     }
 
     /** Longest time since the order was sent, in milliseconds. */
-    getContactMs(): number {
-        return this.options.contactMs + performance.now() - this.readAt;
+    getLongestAgeMs(): number {
+        return this.options.idleMs + performance.now() - this.readAt;
     }
 
     /** Time for which the order may still be sent to a leader, in milliseconds; 0 once its caller may have moved on. */
     getTimeLeftMs(): number {
-        return this.options.isOpen() ? Math.max(0, MAX_ORDER_AGE_MS - this.getAgeMs()) : 0;
+        return this.options.isOpen() ? Math.max(0, MAX_ORDER_AGE_MS - this.getWaitMs()) : 0;
     }
 
     /** Whether the caller surely waits, so that the order comes after all that is committed now. */
     isAwaited(): boolean {
-        return this.getContactMs() <= MAX_ORDER_AGE_MS && this.getTimeLeftMs() > 0;
+        return this.getLongestAgeMs() <= MAX_ORDER_AGE_MS && this.getTimeLeftMs() > 0;
     }
 
     /** Throws {@link LateOrderError} if the caller may have moved on. */
@@ -65,7 +65,7 @@
             throw new LateOrderError("the order has no effect: its caller has closed the connection");
         }
         if (this.getTimeLeftMs() === 0) {
-            const ageMs = Math.round(this.getAgeMs());
+            const ageMs = Math.round(this.getWaitMs());
             throw new LateOrderError(
                 `the order has no effect: it may have waited here for ${ageMs} ms, and callers move on after a second; `
                     + "send it again if it is still wanted",
--- a/packages/matrix/src/evacuationOrders.steps.ts
+++ b/packages/matrix/src/evacuationOrders.steps.ts
@@ -1,6 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { getLastIndex } from "@kumquathall/consensus";
-import { CallerContacts, type ControlStateMachine, EvacuationOrders, LeaderCaller } from "@kumquathall/control";
+import { CallerActivity, type ControlStateMachine, EvacuationOrders, LeaderCaller } from "@kumquathall/control";
 import { listEvacuatedDataCentres } from "@kumquathall/control-state";
 import { createLogger } from "@kumquathall/logger";
 import type { ControlAnswer, ControlCall } from "@kumquathall/types";
@@ -153,14 +153,14 @@
     };
     const { stateMachine } = getGroup().getMember(id);
     ok(stateMachine !== undefined);
-    const contacts = new CallerContacts({
+    const activity = new CallerActivity({
         measureWaitMs: () => waitMs,
         getRevision: () => stateMachine.getState().configuration.revision,
     });
     const connection = {};
-    contacts.recordOpen(connection);
+    activity.recordOpen(connection);
     await idle?.();
-    return getOrders(id).set(name, isEvacuated, contacts.buildOrder(connection, () => true)).then(
+    return getOrders(id).set(name, isEvacuated, activity.buildOrder(connection, () => true)).then(
         () => finish(),
         error => finish(String(error)),
     );
--- a/packages/model/src/checks.ts
+++ b/packages/model/src/checks.ts
@@ -296,7 +296,7 @@
     {
         build: buildOperatorOrders,
         options: { maxDepth: 60, maxStates: 600_000 },
-        mutants: ["orderSince", "orderAge", "orderContact"],
+        mutants: ["orderSince", "orderAge", "orderIdle"],
     },
 ];
 
--- a/packages/model/src/specifications/operatorOrders.ts
+++ b/packages/model/src/specifications/operatorOrders.ts
@@ -24,8 +24,8 @@
     process: number;
     place: PlaceValue;
     /** Time since its connection was opened, in units, and the revision at that time. */
-    contactUnits: number;
-    contactRevision: number;
+    idleUnits: number;
+    idleRevision: number;
     /** Longest time for which it may have waited at its process, in units. */
     waitedUnits: number;
     since: number;
@@ -125,10 +125,10 @@
         const encoded = processes.map((process, at) => {
             const own = copies.filter(copy => copy.process === at).map(copy => {
                 const isFollowing = copy.since >= changedAt;
-                const isNewContact = copy.contactRevision >= changedAt;
+                const isNewlyUsed = copy.idleRevision >= changedAt;
                 const isAwaited = copy.id === waitingFor?.id;
                 return JSON.stringify([
-                    { ...copy, id: isAwaited, process: 0, contactRevision: isNewContact, since: isFollowing },
+                    { ...copy, id: isAwaited, process: 0, idleRevision: isNewlyUsed, since: isFollowing },
                 ]);
             });
             return JSON.stringify([process, own.sort(), waitingFor?.process === at]);
@@ -190,8 +190,8 @@
         const { disabledGuard } = this.options;
         return new OperatorOrder({
             waitedMs: disabledGuard === "orderAge" ? 0 : copy.waitedUnits * UNIT_MS,
-            contactMs: disabledGuard === "orderContact" ? 0 : copy.contactUnits * UNIT_MS,
-            contactRevision: copy.contactRevision,
+            idleMs: disabledGuard === "orderIdle" ? 0 : copy.idleUnits * UNIT_MS,
+            idleRevision: copy.idleRevision,
             revision: state.control.configuration.revision,
             isOpen: () => true,
         });
@@ -204,10 +204,10 @@
 
     private sendOn(state: OperatorOrdersState, copy: Copy, at: number): OperatorOrdersState {
         const canSend = this.buildOrder(state, copy).getTimeLeftMs() > 0;
-        const isLate = canSend && !copy.wasHeldUp && copy.contactUnits >= CALLER_UNITS;
+        const isLate = canSend && !copy.wasHeldUp && copy.idleUnits >= CALLER_UNITS;
         return {
             ...setCopy(state, at, canSend ? { ...copy, place: Place.Link } : undefined),
-            fault: isLate ? `order ${copy.order} was sent on after ${copy.contactUnits} units` : undefined,
+            fault: isLate ? `order ${copy.order} was sent on after ${copy.idleUnits} units` : undefined,
         };
     }
 
@@ -247,15 +247,15 @@
 }
 
 function send(state: OperatorOrdersState, order: number, process: number, place: PlaceValue): OperatorOrdersState {
-    const contactRevision = state.control.configuration.revision;
+    const idleRevision = state.control.configuration.revision;
     const id = state.sendsLeft;
     const copy: Copy = {
         id,
         order,
         process,
         place,
-        contactUnits: 0,
-        contactRevision,
+        idleUnits: 0,
+        idleRevision,
         waitedUnits: 0,
         since: 0,
         wasHeldUp: place === Place.Network,
@@ -303,7 +303,7 @@
         ),
         copies: state.copies.map(copy => ({
             ...copy,
-            contactUnits: add(copy.contactUnits),
+            idleUnits: add(copy.idleUnits),
             waitedUnits: copy.place === Place.Process || copy.place === Place.Link
                 ? add(copy.waitedUnits)
                 : copy.waitedUnits,
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -42,9 +42,9 @@
     | { kind: "members" }
     /**
      * Tells a member that the newest incarnation of an endpoint leaves; only members know which that is. The endpoint has said
-     * so within the last `contactMs` milliseconds.
+     * so within the last `ageMs` milliseconds.
      */
-    | { kind: "depart"; id: string; contactMs?: number }
+    | { kind: "depart"; id: string; ageMs?: number }
     /** Reads the traffic configuration from the leader, confirmed by a majority. */
     | { kind: "readTraffic" }
     /** Asks for all current facts about endpoints and subscribes to later ones. */
