--- a/packages/model/src/model.feature
+++ b/packages/model/src/model.feature
@@ -20,3 +20,5 @@
             | publish                                          | changeIdAnswer       | 3           |
             | control members: losses and replacement          | addOnlyCopies        | 15          |
             | control members: losses and replacement          | silenceFromSending   | 4           |
+            | orders of an operator                            | orderSince           | 14          |
+            | orders of an operator                            | orderAge             | 7           |
